--- /dev/null
+++ b/chivewind.go
@@ -0,0 +1,150 @@
+// Package chivewind is the kernel: the registry of modules and their life cycle.
+//
+// A module registers itself in init under a dotted id, for example "kv.etcd".
+// A daemon loads the modules that its settings name.
+package chivewind
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"go.yaml.in/yaml/v3"
+)
+
+// ModuleInfo describes a registered module.
+type ModuleInfo struct {
+	// ID is the dotted name, namespace first.
+	ID string
+	// New returns an empty module whose exported fields are its settings.
+	New func() Module
+}
+
+// Module is anything that can be registered.
+type Module interface {
+	// ModuleInfo returns the module's registration.
+	ModuleInfo() ModuleInfo
+}
+
+// Provisioner is implemented by modules that prepare themselves after their settings are decoded.
+type Provisioner interface {
+	Provision(*Context) error
+}
+
+// Validator is implemented by modules that check their settings. It must not have side effects.
+type Validator interface {
+	Validate() error
+}
+
+// Starter is implemented by modules that run in the background.
+type Starter interface {
+	Start(context.Context) error
+}
+
+// Stopper is implemented by modules that release what Start or Provision acquired.
+type Stopper interface {
+	Stop(context.Context) error
+}
+
+// Context is what the kernel hands to a module.
+type Context struct {
+	Log     hclog.Logger
+	Metrics metrics.Registry
+}
+
+// registry is guarded by registryMu; registration happens in init, lookups at start.
+var (
+	registryMu sync.RWMutex
+	registry   = map[string]ModuleInfo{}
+)
+
+// Register adds a module to the registry. It panics on a duplicate or malformed id,
+// because both are errors in the program, not in the settings.
+func Register(m Module) {
+	info := m.ModuleInfo()
+	if info.New == nil || !strings.Contains(info.ID, ".") {
+		panic(fmt.Sprintf("chivewind: malformed module registration %q", info.ID))
+	}
+	registryMu.Lock()
+	defer registryMu.Unlock()
+	if _, ok := registry[info.ID]; ok {
+		panic(fmt.Sprintf("chivewind: module %q registered twice", info.ID))
+	}
+	registry[info.ID] = info
+}
+
+// Lookup returns the module registered under id.
+func Lookup(id string) (ModuleInfo, error) {
+	registryMu.RLock()
+	defer registryMu.RUnlock()
+	info, ok := registry[id]
+	if !ok {
+		namespace, _, _ := strings.Cut(id, ".")
+		return ModuleInfo{}, fmt.Errorf("unknown module %q; registered: %s", id, strings.Join(names(namespace), ", "))
+	}
+	return info, nil
+}
+
+// Modules returns the modules of a namespace, sorted by id.
+func Modules(namespace string) []ModuleInfo {
+	registryMu.RLock()
+	defer registryMu.RUnlock()
+	var infos []ModuleInfo
+	for _, id := range names(namespace) {
+		infos = append(infos, registry[id])
+	}
+	return infos
+}
+
+func names(namespace string) []string {
+	var ids []string
+	for id := range registry {
+		if strings.HasPrefix(id, namespace+".") {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Load creates the module id, decodes its settings, validates and provisions it.
+// A nil node leaves the module's defaults.
+func Load(ctx *Context, id string, node *yaml.Node) (Module, error) {
+	info, err := Lookup(id)
+	if err != nil {
+		return nil, err
+	}
+	m := info.New()
+	if node != nil && !node.IsZero() {
+		if err := decodeStrict(node, m); err != nil {
+			return nil, fmt.Errorf("settings of module %s: %w", id, err)
+		}
+	}
+	if v, ok := m.(Validator); ok {
+		if err := v.Validate(); err != nil {
+			return nil, fmt.Errorf("settings of module %s: %w", id, err)
+		}
+	}
+	if p, ok := m.(Provisioner); ok {
+		if err := p.Provision(ctx); err != nil {
+			return nil, fmt.Errorf("provision module %s: %w", id, err)
+		}
+	}
+	return m, nil
+}
+
+// decodeStrict rejects unknown keys. yaml.Node.Decode has no such option,
+// so the node is encoded again and read by a strict decoder.
+func decodeStrict(node *yaml.Node, into any) error {
+	raw, err := yaml.Marshal(node)
+	if err != nil {
+		return err
+	}
+	dec := yaml.NewDecoder(strings.NewReader(string(raw)))
+	dec.KnownFields(true)
+	return dec.Decode(into)
+}
--- /dev/null
+++ b/modules/standard/standard.go
@@ -0,0 +1,2 @@
+// Package standard imports all modules for their registration.
+package standard
