Read settings and configuration strictly

Cause: a daemon must refuse a wrong file before anything changes, and name the file, line and field.

--- a/chivewind.go
+++ b/chivewind.go
@@ -5,6 +5,7 @@
 package chivewind
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sort"
@@ -119,15 +120,8 @@
 		return nil, err
 	}
 	m := info.New()
-	if node != nil && !node.IsZero() {
-		if err := decodeStrict(node, m); err != nil {
-			return nil, fmt.Errorf("settings of module %s: %w", id, err)
-		}
-	}
-	if v, ok := m.(Validator); ok {
-		if err := v.Validate(); err != nil {
-			return nil, fmt.Errorf("settings of module %s: %w", id, err)
-		}
+	if err := Decode(node, m); err != nil {
+		return nil, fmt.Errorf("settings of module %s: %w", id, err)
 	}
 	if p, ok := m.(Provisioner); ok {
 		if err := p.Provision(ctx); err != nil {
@@ -137,14 +131,23 @@
 	return m, nil
 }
 
-// decodeStrict rejects unknown keys. yaml.Node.Decode has no such option,
-// so the node is encoded again and read by a strict decoder.
-func decodeStrict(node *yaml.Node, into any) error {
-	raw, err := yaml.Marshal(node)
-	if err != nil {
-		return err
+// Decode reads a module's settings strictly and validates them. A nil or empty node leaves the
+// defaults. yaml.Node.Decode accepts unknown keys, so the node is encoded again and read by a
+// strict decoder.
+func Decode(node *yaml.Node, m Module) error {
+	if node != nil && !node.IsZero() {
+		raw, err := yaml.Marshal(node)
+		if err != nil {
+			return err
+		}
+		dec := yaml.NewDecoder(bytes.NewReader(raw))
+		dec.KnownFields(true)
+		if err := dec.Decode(m); err != nil {
+			return err
+		}
+	}
+	if v, ok := m.(Validator); ok {
+		return v.Validate()
 	}
-	dec := yaml.NewDecoder(strings.NewReader(string(raw)))
-	dec.KnownFields(true)
-	return dec.Decode(into)
+	return nil
 }
--- /dev/null
+++ b/settings/parse.go
@@ -0,0 +1,171 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/chivewind/chivewind"
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/internal/strictyaml"
+)
+
+// Defaults of optional settings.
+const (
+	DefaultPolicy          = "policy.tiered"
+	DefaultMaxBody         = config.Size(4 << 20)
+	DefaultMaxHeader       = config.Size(64 << 10)
+	DefaultHeaderTimeout   = config.Duration(5 * time.Second)
+	DefaultIdleTimeout     = config.Duration(60 * time.Second)
+	DefaultWriteStall      = config.Duration(30 * time.Second)
+	DefaultEntryValidity   = config.Duration(10 * time.Second)
+	DefaultInterToken      = config.Duration(5 * time.Second)
+	DefaultLedgerRetention = config.Duration(7 * 24 * time.Hour)
+)
+
+// ReadFile reads and validates a settings file.
+func ReadFile(file string) (*Settings, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(file, raw)
+}
+
+// Parse reads and validates settings and fills in defaults. The error is a strictyaml.Problems.
+func Parse(file string, raw []byte) (*Settings, error) {
+	s := &Settings{}
+	doc, err := strictyaml.Decode(file, raw, s)
+	if err != nil {
+		return nil, err
+	}
+	s.setDefaults()
+	s.validate(doc)
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) setDefaults() {
+	setDefault(&s.Listen.PeerAdvertise, s.Listen.Peer)
+	setDefault(&s.ID, s.Listen.PeerAdvertise)
+	scheme := "http://"
+	if s.TLS.CertFile != "" {
+		scheme = "https://"
+	}
+	setDefault(&s.Listen.CallersURL, scheme+s.Listen.Callers)
+	setDefault(&s.Policy.Use, DefaultPolicy)
+	setDefault(&s.Limits.MaxBody, DefaultMaxBody)
+	setDefault(&s.Limits.MaxHeader, DefaultMaxHeader)
+	setDefault(&s.Limits.HeaderTimeout, DefaultHeaderTimeout)
+	setDefault(&s.Limits.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&s.Limits.WriteStall, DefaultWriteStall)
+	setDefault(&s.Limits.EntryValidity, DefaultEntryValidity)
+	setDefault(&s.Limits.InterToken, DefaultInterToken)
+	setDefault(&s.Limits.LedgerRetention, DefaultLedgerRetention)
+	setDefault(&s.Log.Level, "info")
+	if s.Log.JSON == nil {
+		json := true
+		s.Log.JSON = &json
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (s *Settings) validate(doc *strictyaml.Document) {
+	if s.Zone == "" {
+		doc.Addf("zone", "the availability zone is missing")
+	}
+	s.checkAddresses(doc)
+	s.checkModules(doc)
+	s.checkTLS(doc)
+	if !slices.Contains([]string{"trace", "debug", "info", "warn", "error"}, s.Log.Level) {
+		doc.Addf("log.level", "%q is not a level; valid: trace, debug, info, warn, error", s.Log.Level)
+	}
+	if v := s.Limits.EntryValidity.D(); v < time.Second || v > 5*time.Minute {
+		doc.Addf("limits.entry_validity", "%s is out of range; valid: 1s to 5m", v)
+	}
+}
+
+func (s *Settings) checkAddresses(doc *strictyaml.Document) {
+	ports := map[uint16]string{}
+	for _, a := range []struct{ field, value string }{
+		{"listen.callers", s.Listen.Callers}, {"listen.admin", s.Listen.Admin}, {"listen.peer", s.Listen.Peer},
+	} {
+		ap, err := netip.ParseAddrPort(a.value)
+		if err != nil {
+			doc.Addf(a.field, "%q is not an address; write IP:port, for example 127.0.0.1:7000", a.value)
+			continue
+		}
+		if other, ok := ports[ap.Port()]; ok && ap.Port() != 0 {
+			doc.Addf(a.field, "port %d is already used by %s", ap.Port(), other)
+		}
+		ports[ap.Port()] = a.field
+		if !ap.Addr().IsLoopback() && !s.Insecure && !s.secured(a.field) {
+			doc.Addf(a.field, "%s is not loopback; set tls (and cluster_key_file for listen.peer) or insecure: true", ap.Addr())
+		}
+	}
+	if _, err := netip.ParseAddrPort(s.Listen.PeerAdvertise); err != nil && s.Listen.PeerAdvertise != s.Listen.Peer {
+		doc.Addf("listen.peer_advertise", "%q is not an address; write IP:port", s.Listen.PeerAdvertise)
+	}
+	for _, j := range s.Join {
+		if _, err := netip.ParseAddrPort(j); err != nil {
+			doc.Addf("join", "%q is not an address; write IP:port", j)
+		}
+	}
+}
+
+// secured says whether the settings protect a listener enough for other hosts to reach it.
+func (s *Settings) secured(field string) bool {
+	if field == "listen.peer" {
+		return s.TLS.PeerCertFile != "" && s.ClusterKeyFile != ""
+	}
+	return s.TLS.CertFile != ""
+}
+
+func (s *Settings) checkModules(doc *strictyaml.Document) {
+	for _, m := range []struct {
+		field  string
+		module *Module
+	}{{"kv", &s.KV}, {"vm_list", &s.VMList}, {"policy", &s.Policy}} {
+		if m.module.Use == "" {
+			doc.Addf(m.field+".use", "the module is missing; valid: %s", moduleIDs(m.field))
+			continue
+		}
+		info, err := chivewind.Lookup(m.module.Use)
+		if err != nil {
+			doc.Addf(m.field+".use", "%v", err)
+			continue
+		}
+		if err := chivewind.Decode(&m.module.With, info.New()); err != nil {
+			doc.Addf(m.field+".with", "%v", err)
+		}
+	}
+}
+
+// moduleIDs lists the registered modules for a settings field.
+func moduleIDs(field string) []string {
+	namespaces := map[string]string{"kv": "kv", "vm_list": "vmlist", "policy": "policy"}
+	var ids []string
+	for _, info := range chivewind.Modules(namespaces[field]) {
+		ids = append(ids, info.ID)
+	}
+	return ids
+}
+
+func (s *Settings) checkTLS(doc *strictyaml.Document) {
+	if (s.TLS.CertFile == "") != (s.TLS.KeyFile == "") {
+		doc.Addf("tls", "cert_file and key_file are set together or not at all")
+	}
+	peer := []string{s.TLS.PeerCertFile, s.TLS.PeerKeyFile, s.TLS.PeerCAFile}
+	if slices.Contains(peer, "") && slices.ContainsFunc(peer, func(v string) bool { return v != "" }) {
+		doc.Addf("tls", "peer_cert_file, peer_key_file and peer_ca_file are set together or not at all")
+	}
+}
