Add the key-value and VM list adapters with stand-ins and contract tests

Cause: configuration, leases and at-most-once records need the platform's key-value service, and drain detection needs its VM list.

Change: kv.etcd speaks the published etcd v3 JSON API with net/http. A write is sent once on a fresh connection and its failure is classified as not applied or unknown. vmlist.http reads a JSON document with ETag. The stand-ins serve both protocols with fault switches and call counters; standin/kv also has an in-process client. platform/contract holds the contract tests.

--- /dev/null
+++ b/internal/standin/kv/client.go
@@ -0,0 +1,177 @@
+package kv
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/chivewind/chivewind/internal/etcdjson"
+	"github.com/chivewind/chivewind/platform"
+)
+
+// DefaultTimeout bounds a call of a Client.
+const DefaultTimeout = 2 * time.Second
+
+// progressInterval is the time between progress replies of an idle watch.
+const progressInterval = 2 * time.Second
+
+// Client is an in-process platform.KV on a Store, with its own faults, so that a test can cut off
+// one of several daemons.
+type Client struct {
+	*Faults
+	// Timeout bounds each call.
+	Timeout time.Duration
+	store   *Store
+}
+
+var _ platform.KV = (*Client)(nil)
+
+// NewClient returns a client of a store.
+func NewClient(s *Store) *Client {
+	return &Client{Faults: &Faults{}, Timeout: DefaultTimeout, store: s}
+}
+
+// Store returns the client's store.
+func (c *Client) Store() *Store { return c.store }
+
+// call runs one call and classifies its failure.
+func (c *Client) call(ctx context.Context, count func(*Counters), write bool, run func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	result := make(chan error, 1)
+	err := c.apply(ctx, count, write, func() { result <- run() })
+	if err == nil {
+		err = <-result
+	}
+	var refused *RefusedError
+	switch {
+	case err == nil:
+		return nil
+	case err == errLease:
+		return errors.Join(platform.ErrLeaseNotFound, platform.ErrNotApplied)
+	case !write:
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	case err == errDown || errors.As(err, &refused):
+		return fmt.Errorf("%w: %w", platform.ErrNotApplied, err)
+	default:
+		return fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+	}
+}
+
+// ask runs one call that has a result.
+func ask[T any](ctx context.Context, c *Client, count func(*Counters), write bool, run func() (T, error)) (T, error) {
+	// The call may still run after its caller has given up, so the result goes through a channel.
+	result := make(chan T, 1)
+	err := c.call(ctx, count, write, func() error {
+		v, err := run()
+		result <- v
+		return err
+	})
+	if err != nil {
+		var zero T
+		return zero, err
+	}
+	return <-result, nil
+}
+
+// Range implements platform.KV.
+func (c *Client) Range(ctx context.Context, r platform.RangeRequest) (platform.RangeReply, error) {
+	return ask(ctx, c, func(n *Counters) { n.Ranges++ }, false, func() (platform.RangeReply, error) {
+		return c.store.Range(r), nil
+	})
+}
+
+// Txn implements platform.KV.
+func (c *Client) Txn(ctx context.Context, t platform.Txn) (platform.TxnReply, error) {
+	return ask(ctx, c, func(n *Counters) { n.Txns++ }, true, func() (platform.TxnReply, error) { return c.store.Txn(t) })
+}
+
+// Grant implements platform.KV.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	return ask(ctx, c, func(n *Counters) { n.Grants++ }, true, func() (platform.LeaseID, error) {
+		return c.store.Grant(ttl), nil
+	})
+}
+
+// KeepAlive implements platform.KV.
+func (c *Client) KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
+	return ask(ctx, c, func(n *Counters) { n.KeepAlives++ }, false, func() (time.Duration, error) {
+		return c.store.KeepAlive(id)
+	})
+}
+
+// Revoke implements platform.KV.
+func (c *Client) Revoke(ctx context.Context, id platform.LeaseID) error {
+	return c.call(ctx, func(n *Counters) { n.Revokes++ }, true, func() error { return c.store.Revoke(id) })
+}
+
+// Watch implements platform.KV.
+func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchReply, error) {
+	err := c.call(ctx, func(n *Counters) { n.Watches++ }, false, func() error { return nil })
+	if err != nil {
+		return nil, err
+	}
+	out := make(chan platform.WatchReply)
+	go func() {
+		defer close(out)
+		err := c.store.watch(ctx, c.Faults, prefix, from, func(r platform.WatchReply) error {
+			select {
+			case out <- r:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		})
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		if e, ok := errors.AsType[*RefusedError](err); ok && e.Code == etcdjson.CodeOutOfRange {
+			err = errors.Join(platform.ErrCompacted, err)
+		}
+		select {
+		case out <- platform.WatchReply{Err: err}:
+		case <-ctx.Done():
+		}
+	}()
+	return out, nil
+}
+
+// watch sends changes and progress until ctx ends, the service goes down or send fails.
+// from is the first revision to report; 0 means from now on.
+func (s *Store) watch(ctx context.Context, f *Faults, prefix string, from int64, send func(platform.WatchReply) error) error {
+	after := from - 1
+	if from <= 0 {
+		after = s.Revision()
+	}
+	progress := time.NewTicker(progressInterval)
+	defer progress.Stop()
+	for {
+		if f.isDown() {
+			return errDown
+		}
+		replies, revision, changed, err := s.since(prefix, after)
+		if err != nil {
+			return err
+		}
+		if !f.isSilent() {
+			for _, r := range replies {
+				if err := send(r); err != nil {
+					return err
+				}
+			}
+			after = max(after, revision)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-progress.C:
+			if !f.isSilent() && !f.isDown() {
+				if err := send(platform.WatchReply{Revision: after}); err != nil {
+					return err
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,22 @@
+// Package standin has what the stand-ins of outside services share.
+package standin
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+// readHeaderTimeout bounds the time to read a request's headers.
+const readHeaderTimeout = 5 * time.Second
+
+// Listen serves h on an address until the returned server is closed. It returns the bound address.
+func Listen(h http.Handler, address string) (*http.Server, string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	go server.Serve(l)
+	return server, l.Addr().String(), nil
+}
--- /dev/null
+++ b/modules/kv/etcd/etcd_test.go
@@ -0,0 +1,146 @@
+package etcd
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/chivewind/chivewind"
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/internal/standin/kv"
+	"github.com/chivewind/chivewind/platform"
+	"github.com/chivewind/chivewind/platform/contract"
+)
+
+const testWatchTimeout = 2500 * time.Millisecond
+
+// newKV returns an adapter with short timeouts; the stand-in reports progress each 2 s.
+func newKV(t *testing.T, endpoints ...string) *KV {
+	t.Helper()
+	k := &KV{
+		Endpoints: endpoints, Prefix: "test/",
+		Timeout: config.Duration(300 * time.Millisecond), WatchTimeout: config.Duration(testWatchTimeout),
+	}
+	if err := k.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Provision(&chivewind.Context{}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { k.Stop(context.Background()) })
+	return k
+}
+
+func serve(t *testing.T) (*kv.Server, string) {
+	t.Helper()
+	standin := kv.NewServer(kv.NewStore())
+	server := httptest.NewServer(standin)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return standin, server.URL
+}
+
+// TestContract guards against an adapter that breaks the contract of platform.KV.
+func TestContract(t *testing.T) {
+	contract.TestKV(t, func(t *testing.T) *contract.KVFixture {
+		standin, url := serve(t)
+		return &contract.KVFixture{
+			KV:               newKV(t, url),
+			LoseReply:        func(n int) { standin.FailWrite(n, kv.Fault{Drop: true}) },
+			LoseRequest:      func(n int) { standin.FailWrite(n, kv.Fault{Skip: true}) },
+			SetDown:          standin.SetDown,
+			SetSilentWatch:   standin.SetSilentWatch,
+			Writes:           func() int { return standin.Counters().Txns },
+			Compact:          func() { standin.Store().Compact(standin.Store().Revision()) },
+			SilentWatchLimit: testWatchTimeout,
+		}
+	})
+}
+
+// closedAddress returns a loopback URL on which nothing listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return "http://" + l.Addr().String()
+}
+
+// TestEndpoints guards against a write that is repeated at another endpoint after it may have
+// reached the first one, and against one that is given up although another endpoint works.
+func TestEndpoints(t *testing.T) {
+	write := platform.Txn{Then: []platform.Op{{Key: "k", Value: []byte("v")}}}
+	for _, c := range []struct {
+		desc   string
+		first  func(t *testing.T) string
+		want   error
+		second int
+	}{
+		{"first refuses connections", closedAddress, nil, 1},
+		{"first loses the reply", func(t *testing.T) string {
+			standin, url := serve(t)
+			standin.FailWrite(1, kv.Fault{Drop: true})
+			return url
+		}, platform.ErrUnknown, 0},
+		{"first breaks connections", func(t *testing.T) string {
+			standin, url := serve(t)
+			standin.SetDown(true)
+			return url
+		}, platform.ErrUnknown, 0},
+		{"first hangs", func(t *testing.T) string {
+			standin, url := serve(t)
+			standin.SetHang(true)
+			return url
+		}, platform.ErrUnknown, 0},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			second, url := serve(t)
+			k := newKV(t, c.first(t), url)
+			if _, err := k.Txn(t.Context(), write); !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+			if got := second.Counters().Txns; got != c.second {
+				t.Errorf("the second endpoint got %d transactions, want %d", got, c.second)
+			}
+			k.preferred.Store(0)
+			if _, err := k.Range(t.Context(), platform.RangeRequest{Key: "k"}); err != nil {
+				t.Errorf("read: %v", err)
+			}
+		})
+	}
+}
+
+// TestNoEndpoint guards against a failed dial that is reported as an unknown outcome.
+func TestNoEndpoint(t *testing.T) {
+	k := newKV(t, closedAddress(t), closedAddress(t))
+	_, err := k.Txn(t.Context(), platform.Txn{Then: []platform.Op{{Key: "k"}}})
+	if !errors.Is(err, platform.ErrNotApplied) || errors.Is(err, platform.ErrUnknown) {
+		t.Errorf("got %v, want ErrNotApplied", err)
+	}
+}
+
+// TestAmbiguousRefusal guards against a failure during replication that is taken for a refusal.
+func TestAmbiguousRefusal(t *testing.T) {
+	for _, c := range []struct {
+		desc string
+		r    refusal
+		want error
+	}{
+		{"request timed out", refusal{503, 14, "etcdserver: request timed out"}, platform.ErrUnknown},
+		{"deadline", refusal{504, 4, "context deadline exceeded"}, platform.ErrUnknown},
+		{"gateway without body", refusal{502, 0, ""}, platform.ErrUnknown},
+		{"no space", refusal{429, 8, "etcdserver: mvcc: database space exceeded"}, platform.ErrNotApplied},
+		{"invalid", refusal{400, 3, "etcdserver: key is not provided"}, platform.ErrNotApplied},
+	} {
+		if err := classifyWrite(true, &c.r); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.desc, err, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/modules/vmlist/http/http.go
@@ -0,0 +1,162 @@
+// Package http is the module vmlist.http: the platform's list of VMs as a JSON document over HTTP.
+package http
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/chivewind/chivewind"
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/platform"
+)
+
+// defaultTimeout bounds a call.
+const defaultTimeout = 2 * time.Second
+
+// maxDocument bounds the document; a VM takes about 120 bytes.
+const maxDocument = 16 << 20
+
+// List is the adapter. Its exported fields are its settings.
+type List struct {
+	// URL is the address of the document.
+	URL string `yaml:"url"`
+	// Timeout bounds each call. Default 2s.
+	Timeout config.Duration `yaml:"timeout"`
+	// CAFile has the certificates that the service's certificate must descend from.
+	// Default: the system's.
+	CAFile string `yaml:"ca_file"`
+
+	client *http.Client
+	// mu guards the latest document, which a reply of 304 refers to.
+	mu   sync.Mutex
+	etag string
+	last platform.VMs
+}
+
+var (
+	_ platform.VMList       = (*List)(nil)
+	_ chivewind.Module      = (*List)(nil)
+	_ chivewind.Validator   = (*List)(nil)
+	_ chivewind.Provisioner = (*List)(nil)
+	_ chivewind.Stopper     = (*List)(nil)
+)
+
+func init() { chivewind.Register(&List{}) }
+
+// ModuleInfo implements chivewind.Module.
+func (l *List) ModuleInfo() chivewind.ModuleInfo {
+	return chivewind.ModuleInfo{ID: "vmlist.http", New: func() chivewind.Module {
+		return &List{Timeout: config.Duration(defaultTimeout)}
+	}}
+}
+
+// Validate implements chivewind.Validator.
+func (l *List) Validate() error {
+	u, err := url.Parse(l.URL)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return fmt.Errorf("url: %q is not an http or https URL", l.URL)
+	}
+	if l.Timeout <= 0 {
+		return errors.New("timeout must be positive")
+	}
+	return nil
+}
+
+// Provision implements chivewind.Provisioner.
+func (l *List) Provision(*chivewind.Context) error {
+	tlsConfig := &tls.Config{MinVersion: tls.VersionTLS12}
+	if l.CAFile != "" {
+		pem, err := os.ReadFile(l.CAFile)
+		if err != nil {
+			return err
+		}
+		tlsConfig.RootCAs = x509.NewCertPool()
+		if !tlsConfig.RootCAs.AppendCertsFromPEM(pem) {
+			return fmt.Errorf("ca_file %s has no certificate", l.CAFile)
+		}
+	}
+	l.client = &http.Client{
+		Timeout:   l.Timeout.D(),
+		Transport: &http.Transport{TLSClientConfig: tlsConfig, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute},
+	}
+	return nil
+}
+
+// Stop implements chivewind.Stopper.
+func (l *List) Stop(context.Context) error {
+	l.client.CloseIdleConnections()
+	return nil
+}
+
+// List implements platform.VMList. The result must not be changed.
+func (l *List) List(ctx context.Context) (platform.VMs, error) {
+	vms, err := l.fetch(ctx)
+	if err != nil {
+		// A silent connection must not be used for the next call.
+		l.client.CloseIdleConnections()
+		return platform.VMs{}, oops.With("step", "list VMs").With("peer", l.URL).
+			Wrap(fmt.Errorf("%w: %w", platform.ErrUnavailable, err))
+	}
+	return vms, nil
+}
+
+func (l *List) fetch(ctx context.Context) (platform.VMs, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.URL, nil)
+	if err != nil {
+		return platform.VMs{}, err
+	}
+	l.mu.Lock()
+	etag, last := l.etag, l.last
+	l.mu.Unlock()
+	if etag != "" {
+		req.Header.Set("If-None-Match", etag)
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return platform.VMs{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified && etag != "" {
+		return last, nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return platform.VMs{}, fmt.Errorf("service answered %d", resp.StatusCode)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxDocument))
+	if err != nil {
+		return platform.VMs{}, err
+	}
+	var vms platform.VMs
+	if err := json.Unmarshal(raw, &vms); err != nil {
+		return platform.VMs{}, err
+	}
+	if err := check(vms); err != nil {
+		return platform.VMs{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.etag, l.last = resp.Header.Get("ETag"), vms
+	return vms, nil
+}
+
+// check rejects a document with an unknown state: treating a leaving VM as live would send it work.
+func check(vms platform.VMs) error {
+	for _, vm := range vms.VMs {
+		if vm.ID == "" || (vm.State != platform.VMLive && vm.State != platform.VMLeaving) {
+			return fmt.Errorf("VM %q has the unknown state %q", vm.ID, vm.State)
+		}
+	}
+	return nil
+}
