Add the minimal tiered scheduling policy

Cause: the daemon's request path needs a policy.Policy to run against before the complete policy exists.

Change: module policy.tiered with strict tiers, floors, least slack within a tier, start-time fair queueing over workspaces, and least relative load over endpoints.

--- /dev/null
+++ b/modules/policy/tiered/class.go
@@ -0,0 +1,98 @@
+package tiered
+
+import (
+	"time"
+
+	"github.com/chivewind/chivewind/policy"
+)
+
+// class is a request class with its waiting requests and what was measured of it.
+type class struct {
+	policy.Class
+	policy  *Policy
+	current bool
+	lanes   []*lane
+	waiting int
+	running int
+	shed    uint64
+	// virtual is the virtual time of fair queueing: the largest tag that was granted.
+	virtual   float64
+	granted   bool
+	lastGrant time.Duration
+	// floorSlots is the class's floor in whole slots.
+	floorSlots int
+}
+
+// tier returns the class's tier; without tiers all classes are equal.
+func (c *class) tier() int {
+	if c.policy.Off.Tiers {
+		return 1
+	}
+	return c.Tier
+}
+
+// withinFloor says whether the next grant belongs to the class's floor: its running requests use
+// fewer slots than the floor, or it had no grant for the floor window. Each running request above
+// the floor lengthens the window, so that long requests cannot fill the shard window by window.
+func (c *class) withinFloor(now time.Duration) bool {
+	if c.policy.Off.Floors {
+		return false
+	}
+	if c.running < c.floorSlots || !c.granted {
+		return true
+	}
+	above := time.Duration(1 + c.running - c.floorSlots)
+	return now-c.lastGrant >= c.policy.FloorWindow*above
+}
+
+// next returns the class's next request among its lanes that are not blocked in this pass.
+func (c *class) next(demoted bool) *item {
+	var best *item
+	for _, l := range c.lanes {
+		if l.blocked == c.policy.pass || l.key.demoted != demoted {
+			continue
+		}
+		it := l.first()
+		if it == nil {
+			continue
+		}
+		if best == nil || it.flow.tag < best.flow.tag || it.flow.tag == best.flow.tag && it.seq < best.seq {
+			best = it
+		}
+	}
+	return best
+}
+
+// classFor returns the class of a request. A class that is not in the settings, for example because
+// this daemon has not yet received a change, waits in the lowest tier and is never late.
+func (p *Policy) classFor(name string) *class {
+	if c := p.byName[name]; c != nil {
+		return c
+	}
+	lowest := 1
+	for _, c := range p.classes {
+		lowest = max(lowest, c.Tier)
+	}
+	return p.addClass(policy.Class{Name: name, Tier: lowest, Late: policy.LateServe})
+}
+
+func (p *Policy) addClass(settings policy.Class) *class {
+	c := &class{Class: settings, policy: p}
+	p.byName[settings.Name] = c
+	p.classes = append(p.classes, c)
+	return c
+}
+
+// dropUnused removes classes that are not in the settings and have no requests.
+func (p *Policy) dropUnused() {
+	kept := p.classes[:0]
+	for _, c := range p.classes {
+		if c.current || c.waiting > 0 || c.running > 0 {
+			kept = append(kept, c)
+		} else {
+			delete(p.byName, c.Name)
+		}
+	}
+	clear(p.classes[len(kept):])
+	p.classes = kept
+}
