--- /dev/null
+++ b/modules/policy/baseline/step.go
@@ -0,0 +1,145 @@
+package baseline
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chivewind/chivewind/policy"
+)
+
+// Step implements policy.Policy.
+func (p *Policy) Step(now time.Duration, dst []policy.Decision) ([]policy.Decision, time.Duration) {
+	dst = p.expire(now, dst)
+	for {
+		it := p.head()
+		if it == nil {
+			break
+		}
+		e, possible := p.choose(now, it.request)
+		if e == nil && possible {
+			break
+		}
+		p.take(it)
+		if e == nil {
+			dst = p.refuse(dst, it, policy.NoEndpoint)
+			continue
+		}
+		e.outstanding++
+		it.endpoint = e
+		p.running[it.request.ID] = it
+		dst = append(dst, policy.Decision{Kind: policy.Grant, ID: it.request.ID, Endpoint: e.ID})
+	}
+	return dst, p.next(now)
+}
+
+// expire refuses requests whose time in the queue is over. It looks only at the head of each
+// class: a retried request, which keeps its arrival, can delay the expiry of those behind it.
+func (p *Policy) expire(now time.Duration, dst []policy.Decision) []policy.Decision {
+	for _, name := range p.names {
+		limit := p.classes[name].MaxWait
+		if limit <= 0 {
+			continue
+		}
+		q := p.queues[name]
+		for it := q.head(); it != nil && now >= it.submitted+limit; it = q.head() {
+			p.take(it)
+			dst = p.refuse(dst, it, policy.Expired)
+		}
+	}
+	return dst
+}
+
+func (p *Policy) refuse(dst []policy.Decision, it *item, reason policy.ShedReason) []policy.Decision {
+	p.shed[it.request.Class]++
+	return append(dst, policy.Decision{
+		Kind: policy.Shed, ID: it.request.ID, Reason: reason, RetryAfter: time.Second,
+	})
+}
+
+func (p *Policy) take(it *item) {
+	p.queues[it.request.Class].remove(it)
+	delete(p.waiting, it.request.ID)
+}
+
+// head returns the next request: the oldest, with strict priority the oldest of the highest tier.
+func (p *Policy) head() *item {
+	var best *item
+	bestTier := 0
+	for _, name := range p.names {
+		it := p.queues[name].head()
+		if it == nil {
+			continue
+		}
+		tier := 0
+		if p.strict {
+			tier = p.tier(name)
+		}
+		if best == nil || tier < bestTier || tier == bestTier && it.before(best) {
+			best, bestTier = it, tier
+		}
+	}
+	return best
+}
+
+func (p *Policy) tier(class string) int {
+	if c, ok := p.classes[class]; ok {
+		return c.Tier
+	}
+	return lowestTier
+}
+
+// choose returns a free endpoint for r. When there is none, possible says whether waiting helps.
+// Endpoints that r avoids are used only when no other endpoint could ever run it.
+func (p *Policy) choose(now time.Duration, r *policy.Request) (best *endpoint, possible bool) {
+	avoidAll := !slices.ContainsFunc(p.endpoints, func(e *endpoint) bool {
+		return e.runs(r) && !slices.Contains(r.Avoid, e.ID)
+	})
+	n := len(p.endpoints)
+	for i := range n {
+		e := p.endpoints[(p.rotation+i)%n]
+		if !e.runs(r) || !avoidAll && slices.Contains(r.Avoid, e.ID) {
+			continue
+		}
+		possible = true
+		if e.outstanding >= e.MaxSlots || now < e.retryAt {
+			continue
+		}
+		if best == nil || !p.roundRobin && e.outstanding < best.outstanding {
+			best = e
+		}
+		if p.roundRobin {
+			break
+		}
+	}
+	if best != nil {
+		p.rotation = (slices.Index(p.endpoints, best) + 1) % n
+	}
+	return best, possible
+}
+
+func (e *endpoint) runs(r *policy.Request) bool {
+	return !e.Draining &&
+		(r.Model == "" || e.Model == r.Model) &&
+		(r.Adapter == "" || slices.Contains(e.Adapters, r.Adapter))
+}
+
+// next returns the time of the next expiry or end of a cooldown; zero means none.
+func (p *Policy) next(now time.Duration) time.Duration {
+	var next time.Duration
+	earliest := func(t time.Duration) {
+		if t > now && (next == 0 || t < next) {
+			next = t
+		}
+	}
+	for _, name := range p.names {
+		if it := p.queues[name].head(); it != nil && p.classes[name].MaxWait > 0 {
+			earliest(it.submitted + p.classes[name].MaxWait)
+		}
+	}
+	if len(p.waiting) > 0 {
+		for _, e := range p.endpoints {
+			earliest(e.retryAt)
+		}
+	}
+	return next
+}
