--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -1,2 +1,9 @@
 // Package standard imports all modules for their registration.
 package standard
+
+import (
+	_ "github.com/chivewind/chivewind/modules/kv/etcd"
+	_ "github.com/chivewind/chivewind/modules/policy/baseline"
+	_ "github.com/chivewind/chivewind/modules/policy/tiered"
+	_ "github.com/chivewind/chivewind/modules/vmlist/http"
+)
