--- /dev/null
+++ b/test/integration/process_test.go
@@ -0,0 +1,182 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// binary is the path of the program under test; TestMain builds it once.
+var binary string
+
+// TestMain builds the program and runs the tests.
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "chivewind-integration")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "chivewind")
+	build := exec.Command("go", "build", "-o", binary, "../../cmd/chivewind")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one running process of the program.
+type process struct {
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+	log  string
+	done chan struct{}
+	// err is the result of Wait, valid after done is closed.
+	err error
+}
+
+// startProcess runs the program with arguments. The process ends with the test.
+func startProcess(t *testing.T, dir, name string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = exec.Command(binary, args...)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	// Go's collector adapts to the machine; a bound keeps many daemons within the machine's memory.
+	p.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		defer close(p.done)
+		defer out.Close()
+		p.err = p.cmd.Wait()
+	}()
+	t.Cleanup(p.cleanup)
+	return p
+}
+
+// cleanup ends the process and shows the end of its log when the test failed.
+func (p *process) cleanup() {
+	p.signal(syscall.SIGCONT)
+	p.kill()
+	if p.t.Failed() {
+		const tail = 4000
+		raw, _ := os.ReadFile(p.log)
+		p.t.Logf("log of %s (end):\n%s", p.name, raw[max(0, len(raw)-tail):])
+	}
+}
+
+func (p *process) signal(s syscall.Signal) {
+	select {
+	case <-p.done:
+	default:
+		p.cmd.Process.Signal(s)
+	}
+}
+
+// kill ends the process at once, as the failure of its VM does.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
+
+// terminate asks for a graceful shutdown and requires exit code 0 within the bound.
+func (p *process) terminate(bound time.Duration) {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	p.waitExit(bound)
+}
+
+func (p *process) waitExit(bound time.Duration) {
+	p.t.Helper()
+	select {
+	case <-p.done:
+		if p.err != nil {
+			p.t.Errorf("%s: graceful shutdown ended with %v", p.name, p.err)
+		}
+	case <-time.After(bound):
+		p.t.Errorf("%s: still running %v after SIGTERM", p.name, bound)
+	}
+}
+
+// ports hands out loopback ports that no other test of this process uses.
+var ports struct {
+	sync.Mutex
+	used map[int]bool
+}
+
+// freePort returns a port that is free for TCP and UDP at this moment.
+func freePort(t *testing.T) int {
+	t.Helper()
+	ports.Lock()
+	defer ports.Unlock()
+	if ports.used == nil {
+		ports.used = map[int]bool{}
+	}
+	for range 100 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := l.Addr().(*net.TCPAddr).Port
+		u, err := net.ListenPacket("udp", fmt.Sprintf("127.0.0.1:%d", port))
+		l.Close()
+		if err != nil {
+			continue
+		}
+		u.Close()
+		if !ports.used[port] {
+			ports.used[port] = true
+			return port
+		}
+	}
+	t.Fatal("no free port")
+	return 0
+}
+
+// pollInterval is the time between two looks at a condition.
+const pollInterval = 20 * time.Millisecond
+
+// eventually polls a condition until it holds or the bound has passed.
+func eventually(t *testing.T, bound time.Duration, what string, condition func() error) {
+	t.Helper()
+	deadline := time.Now().Add(bound)
+	for {
+		err := condition()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not within %v: %v", what, bound, err)
+		}
+		<-time.After(pollInterval)
+	}
+}
+
+// withTimeout returns a context for one call.
+func withTimeout(t *testing.T, bound time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	t.Cleanup(cancel)
+	return ctx
+}
