Add the bench of scheduling policies in virtual time

Cause: changes of the scheduling policy need figures, and a comparison with simple policies, before they reach real engines.

Change: internal/bench drives any policy.Policy with fakes of model engines through eleven scenarios on both deployments. It counts attainment, goodput against an analytic bound, wasted work by reason, sheds, and violations of the tier rule from its own log of decisions.

Conclusion: the baselines can be measured; the tiered policy is found through the registry once it is linked in.

--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,175 @@
+// Package bench compares scheduling policies in virtual time. An event loop drives any
+// policy.Policy with small fakes of model engines at that interface; there is one scheduler and
+// the network has a constant delay.
+//
+// The same seed gives the same arrivals for every policy, and the same result in each run.
+package bench
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chivewind/chivewind"
+	"github.com/chivewind/chivewind/modules/policy/baseline"
+	"github.com/chivewind/chivewind/policy"
+)
+
+// Options select what Run measures.
+type Options struct {
+	// Scenario and Deployment are names from Scenarios and Deployments.
+	Scenario   string
+	Deployment string
+	// Seed is the first seed; Seeds is their number, 10 when zero.
+	Seed  uint64
+	Seeds int
+	// Policies are module ids, with or without "policy."; empty means all registered ones.
+	Policies []string
+	// Ablation adds variants of a policy by name.
+	Ablation map[string]func() policy.Policy
+	// Workers bounds the runs in parallel; 2 when zero.
+	Workers int
+	// Progress is called after each run, possibly from several goroutines at once.
+	Progress func(done, total int)
+}
+
+// Defaults of Options.
+const (
+	defaultSeeds   = 10
+	defaultWorkers = 2
+)
+
+// variant is a policy under its name in the results.
+type variant struct {
+	name  string
+	build func() (policy.Policy, error)
+}
+
+// Run plays a scenario for each policy and seed.
+func Run(ctx context.Context, o Options) (Result, error) {
+	if o.Seeds <= 0 {
+		o.Seeds = defaultSeeds
+	}
+	if o.Workers <= 0 {
+		o.Workers = defaultWorkers
+	}
+	sc, err := scenarioByName(o.Scenario)
+	if err != nil {
+		return Result{}, err
+	}
+	dep, err := deploymentByName(o.Deployment)
+	if err != nil {
+		return Result{}, err
+	}
+	dep = sc.adapt(dep)
+	variants, err := o.variants()
+	if err != nil {
+		return Result{}, err
+	}
+	runs, err := runAll(ctx, o, dep, sc, variants)
+	if err != nil {
+		return Result{}, err
+	}
+	result := Result{
+		Scenario: o.Scenario, Deployment: o.Deployment, Seed: o.Seed, Seeds: o.Seeds,
+		Policies: map[string]PolicyResult{},
+	}
+	for i, v := range variants {
+		result.Policies[v.name] = summarize(runs[i*o.Seeds : (i+1)*o.Seeds])
+	}
+	return result, nil
+}
+
+// runAll returns the outcomes by variant, then by seed.
+func runAll(ctx context.Context, o Options, dep deployment, sc scenario, variants []variant) ([]outcome, error) {
+	runs := make([]outcome, len(variants)*o.Seeds)
+	bounds := make([]float64, o.Seeds)
+	for i := range bounds {
+		bounds[i] = bound(dep, sc, o.Seed+uint64(i))
+	}
+	done := make(chan struct{}, len(runs))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(o.Workers)
+	for i := range runs {
+		g.Go(func() error {
+			p, err := variants[i/o.Seeds].build()
+			if err != nil {
+				return err
+			}
+			s := newSim(dep.clone(), sc, o.Seed+uint64(i%o.Seeds), p)
+			if err := s.run(ctx); err != nil {
+				return err
+			}
+			runs[i] = s.outcome(bounds[i%o.Seeds])
+			done <- struct{}{}
+			if o.Progress != nil {
+				o.Progress(len(done), len(runs))
+			}
+			return nil
+		})
+	}
+	return runs, g.Wait()
+}
+
+// adapt applies the scenario's fleet to a deployment.
+func (s scenario) adapt(dep deployment) deployment {
+	if s.small {
+		dep.engines = 2
+		dep.model = smallRunner
+	}
+	if s.cacheBlocks > 0 {
+		dep.model.cacheBlocks = s.cacheBlocks
+	}
+	return dep
+}
+
+// clone gives a run its own classes, which identify counters by address.
+func (d deployment) clone() deployment {
+	d.classes = slices.Clone(d.classes)
+	return d
+}
+
+// variants resolves the policies' names.
+func (o Options) variants() ([]variant, error) {
+	ids := o.Policies
+	if len(ids) == 0 && len(o.Ablation) == 0 {
+		for _, info := range chivewind.Modules("policy") {
+			ids = append(ids, info.ID)
+		}
+	}
+	var variants []variant
+	for _, id := range ids {
+		name := strings.TrimPrefix(id, "policy.")
+		if _, err := chivewind.Lookup("policy." + name); err != nil {
+			return nil, err
+		}
+		variants = append(variants, variant{name, func() (policy.Policy, error) { return load("policy." + name) }})
+	}
+	for name, build := range o.Ablation {
+		variants = append(variants, variant{name, func() (policy.Policy, error) { return build(), nil }})
+	}
+	slices.SortFunc(variants, func(a, b variant) int { return strings.Compare(a.name, b.name) })
+	return variants, nil
+}
+
+// load creates a registered policy with its default settings.
+func load(id string) (policy.Policy, error) {
+	ctx := &chivewind.Context{Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()}
+	m, err := chivewind.Load(ctx, id, nil)
+	if err != nil {
+		return nil, err
+	}
+	p, ok := m.(policy.Policy)
+	if !ok {
+		return nil, fmt.Errorf("module %s is not a scheduling policy", id)
+	}
+	return p, nil
+}
+
+// The baselines are always available.
+var _ = baseline.New
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,134 @@
+package bench
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/chivewind/chivewind/modules/policy/baseline"
+	"github.com/chivewind/chivewind/policy"
+)
+
+// play runs one scenario on Almaty with a baseline.
+func play(t *testing.T, name, id string, seed uint64) *sim {
+	t.Helper()
+	sc, err := scenarioByName(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newSim(sc.adapt(almaty()).clone(), sc, seed, baseline.New(id))
+	if err := s.run(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestAccounting guards against calls that never end and against computed tokens that are counted
+// twice or as neither useful nor wasted, which would falsify the share of wasted work.
+func TestAccounting(t *testing.T) {
+	for _, info := range Scenarios() {
+		if info.Name == "floor_day" {
+			// A day takes several seconds; its code paths are those of the burst.
+			continue
+		}
+		t.Run(info.Name, func(t *testing.T) {
+			const seed = 7
+			s := play(t, info.Name, baseline.StrictLeast, seed)
+			if len(s.active) > 0 || s.metrics.invalidDecisions > 0 {
+				t.Errorf("seed %d: %d calls without an end, %d invalid decisions", seed, len(s.active), s.metrics.invalidDecisions)
+			}
+			for spec, n := range s.metrics.classes {
+				ends := 0
+				for _, k := range n.ends {
+					ends += k
+				}
+				if ends != n.offered {
+					t.Errorf("seed %d: class %s has %d calls and %d ends", seed, spec.Name, n.offered, ends)
+				}
+			}
+			counted, computed := s.metrics.useful, 0
+			for _, n := range s.metrics.wasted {
+				counted += n
+			}
+			for _, e := range s.engines {
+				computed += e.computed
+			}
+			if counted != computed {
+				t.Errorf("seed %d: %d tokens counted, %d computed", seed, counted, computed)
+			}
+			for _, state := range s.checker.order {
+				if state.waiting != 0 || state.running != 0 {
+					t.Errorf("seed %d: class %s ends with %d waiting and %d running", seed, state.class.Name, state.waiting, state.running)
+				}
+			}
+		})
+	}
+}
+
+// TestPoison guards against a request that crashes more than two engines although its caller
+// sends it again.
+func TestPoison(t *testing.T) {
+	s := play(t, "poison", baseline.FIFOLeast, 3)
+	for _, content := range []string{"poison-0", "poison-1"} {
+		if n := s.recovery.crashes[content]; n != crashLimit {
+			t.Errorf("%s was present at %d crashes, want %d", content, n, crashLimit)
+		}
+	}
+}
+
+// TestChecker guards against a check of the tier rule that misses a violation or reports a grant
+// within a floor.
+func TestChecker(t *testing.T) {
+	for _, c := range []struct {
+		desc   string
+		floor  float64
+		grants int
+		// waits leaves a request of the lower tier in the queue.
+		waits  bool
+		reason policy.ShedReason
+		want   violations
+	}{
+		{"nothing below", 0, 0, false, policy.Overload, violations{}},
+		{"lower tier waits", 0, 0, true, policy.Overload, violations{ShedWhileLowerWaits: 1}},
+		{"one grant in the window", 0, 1, false, policy.Overload, violations{}},
+		{"second grant in the window", 0, 2, false, policy.Overload, violations{ShedAfterLowerGrant: 1}},
+		{"grants within the share", 0.5, 2, false, policy.Overload, violations{}},
+		{"expired after a grant", 0, 2, true, policy.Expired, violations{ExpiredAfterLowerGrant: 1}},
+		{"expired while a lower one waits", 0, 0, true, policy.Expired, violations{ExpiredWhileLowerWaits: 1}},
+		{"no endpoint", 0, 2, true, policy.NoEndpoint, violations{}},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			now := time.Minute
+			high := &classState{class: policy.Class{Name: "high", Tier: 1}}
+			low := &classState{class: policy.Class{Name: "low", Tier: 3, Floor: c.floor}, lastGrant: -time.Hour}
+			k := &checker{
+				now: &now, slots: 4, order: []*classState{high, low},
+				classes: map[string]*classState{"high": high, "low": low},
+			}
+			upper := &call{class: &classSpec{Class: high.class}}
+			k.submit(upper)
+			for range c.grants {
+				lower := &call{class: &classSpec{Class: low.class}}
+				k.submit(lower)
+				k.decide(lower, policy.Decision{Kind: policy.Grant})
+			}
+			if c.waits {
+				k.submit(&call{class: &classSpec{Class: low.class}})
+			}
+			k.decide(upper, policy.Decision{Kind: policy.Shed, Reason: c.reason})
+			if k.violations != c.want {
+				t.Errorf("got %+v, want %+v", k.violations, c.want)
+			}
+		})
+	}
+}
+
+// TestBoundAboveResults guards against a bound that a policy exceeds.
+func TestBoundAboveResults(t *testing.T) {
+	for _, name := range []string{"steady", "burst", "large_workspace", "shared_prefix"} {
+		s := play(t, name, baseline.StrictLeast, 5)
+		if b := bound(s.dep, s.scenario, 5); float64(s.metrics.goodTokens) > b {
+			t.Errorf("%s, seed 5: %d good tokens exceed the bound %.0f", name, s.metrics.goodTokens, b)
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/cache.go
@@ -0,0 +1,74 @@
+package bench
+
+import "container/list"
+
+// blockTokens is the size of a block of the prefix cache.
+const blockTokens = 128
+
+// prefixCache is an LRU cache of prompt prefix blocks that records its changes for load reports.
+type prefixCache struct {
+	capacity int
+	order    *list.List
+	index    map[uint64]*list.Element
+	sequence uint64
+	added    []uint64
+	removed  []uint64
+}
+
+func newPrefixCache(capacity int) *prefixCache {
+	return &prefixCache{capacity: capacity, order: list.New(), index: map[uint64]*list.Element{}}
+}
+
+// use returns how many leading blocks are cached, and caches all of them.
+func (c *prefixCache) use(blocks []uint64) int {
+	hits := 0
+	for _, b := range blocks {
+		if c.index[b] == nil {
+			break
+		}
+		hits++
+	}
+	// The last block goes first, so that the start of a prefix is evicted after its end.
+	for i := len(blocks) - 1; i >= 0; i-- {
+		b := blocks[i]
+		if e := c.index[b]; e != nil {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.index[b] = c.order.PushFront(b)
+		c.added = append(c.added, b)
+		c.sequence++
+	}
+	for c.order.Len() > c.capacity {
+		b := c.order.Remove(c.order.Back()).(uint64)
+		delete(c.index, b)
+		c.removed = append(c.removed, b)
+		c.sequence++
+	}
+	return hits
+}
+
+// takeEvents returns the changes since the last call. A block that was added and removed in
+// between is only in removed.
+func (c *prefixCache) takeEvents() (sequence uint64, added, removed []uint64) {
+	for _, b := range c.added {
+		if c.index[b] != nil {
+			added = append(added, b)
+		}
+	}
+	for _, b := range c.removed {
+		if c.index[b] == nil {
+			removed = append(removed, b)
+		}
+	}
+	c.added, c.removed = nil, nil
+	return c.sequence, added, removed
+}
+
+// clear empties the cache after a restart. The sequence goes on, which a reader sees as a gap.
+func (c *prefixCache) clear() {
+	c.order.Init()
+	clear(c.index)
+	c.added, c.removed = nil, nil
+	c.sequence++
+}
--- /dev/null
+++ b/internal/bench/engine.go
@@ -0,0 +1,321 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chivewind/chivewind/policy"
+)
+
+// engineModel has the costs and limits of a model engine with continuous batching. A step takes
+// base + perSequence × decoding sequences + perPrefill × prompt tokens of the step.
+type engineModel struct {
+	base        time.Duration
+	perSequence time.Duration
+	perPrefill  time.Duration
+	// chunk is the largest number of prompt tokens in one step.
+	chunk int
+	// batch and kvTokens bound the running sequences; the engine queues the rest.
+	batch       int
+	kvTokens    int
+	cacheBlocks int
+	// slots is the MaxSlots that operators configured for the endpoint.
+	slots int
+}
+
+// kvReserve is the number of tokens of KV cache that an engine reserves for an answer.
+const kvReserve = 512
+
+// sequence is one attempt at an engine.
+type sequence struct {
+	call     *call
+	priority int
+	blocks   []uint64
+	// prompt counts the tokens to be processed before the first new token, without cache hits.
+	prompt int
+	// output is the number of tokens left to generate.
+	output int
+	// crashAfter is the number of tokens after which the request crashes the engine; 0 means never.
+	crashAfter int
+
+	startedAt   time.Duration
+	firstAt     time.Duration
+	prefillLeft int
+	prefilled   int
+	generated   int
+	ended       bool
+}
+
+func (q *sequence) kv() int { return q.prompt + min(kvReserve, q.output) }
+
+// computed is the number of prompt and answer tokens that the engine computed.
+func (q *sequence) computed() int { return q.prefilled + q.generated }
+
+// remaining is the number of steps until the sequence ends, when it is decoding.
+func (q *sequence) remaining() int {
+	if q.crashAfter > 0 {
+		return min(q.output, q.crashAfter) - q.generated
+	}
+	return q.output - q.generated
+}
+
+// engine is a fake model engine in virtual time. Steps with an unchanged batch are executed in
+// one event, so that the cost of a run depends on requests rather than on tokens.
+type engine struct {
+	id    string
+	zone  string
+	model engineModel
+	loop  *loop
+	cache *prefixCache
+	// firstToken and ended tell the driver about a sequence.
+	firstToken func(*sequence)
+	ended      func(*sequence, policy.Outcome)
+
+	up       bool
+	slowdown float64
+	waiting  []*sequence
+	running  []*sequence
+	kvUsed   int
+	plan     plan
+	// epoch invalidates scheduled wake-ups of a replaced plan.
+	epoch int
+	// computed counts tokens; stepTime and steps are since the last load report.
+	computed int
+	stepTime time.Duration
+	steps    int
+}
+
+// plan is a number of equal steps from start on.
+type plan struct {
+	active   bool
+	start    time.Duration
+	duration time.Duration
+	steps    int
+	decoding []*sequence
+	prefill  []prefillPart
+}
+
+type prefillPart struct {
+	sequence *sequence
+	tokens   int
+}
+
+func (e *engine) submit(q *sequence) bool {
+	if !e.up {
+		return false
+	}
+	q.startedAt = e.loop.now
+	at, _ := slices.BinarySearchFunc(e.waiting, q, func(w, q *sequence) int {
+		if w.priority <= q.priority {
+			return -1
+		}
+		return 1
+	})
+	e.waiting = slices.Insert(e.waiting, at, q)
+	e.interrupt()
+	return true
+}
+
+// cancel stops a sequence. It has no effect on one that has ended.
+func (e *engine) cancel(q *sequence) {
+	if q.ended {
+		return
+	}
+	e.interrupt()
+	e.remove(q)
+}
+
+func (e *engine) remove(q *sequence) {
+	q.ended = true
+	if i := slices.Index(e.waiting, q); i >= 0 {
+		e.waiting = slices.Delete(e.waiting, i, i+1)
+		return
+	}
+	if i := slices.Index(e.running, q); i >= 0 {
+		e.running = slices.Delete(e.running, i, i+1)
+		e.kvUsed -= q.kv()
+	}
+}
+
+// interrupt executes the whole steps that have passed and shortens the plan to the current step,
+// after which the batch can change.
+func (e *engine) interrupt() {
+	if !e.plan.active {
+		e.begin()
+		return
+	}
+	if e.plan.steps == 1 {
+		return
+	}
+	passed := min(int((e.loop.now-e.plan.start)/e.plan.duration), e.plan.steps-1)
+	e.execute(passed)
+	e.plan.start += time.Duration(passed) * e.plan.duration
+	e.plan.steps = 1
+	e.schedule()
+}
+
+// begin admits waiting sequences and starts the next steps.
+func (e *engine) begin() {
+	e.admit()
+	e.plan = plan{start: e.loop.now, steps: 1}
+	if len(e.running) == 0 {
+		return
+	}
+	e.plan.active = true
+	budget := e.model.chunk
+	least := 0
+	for _, q := range e.running {
+		if q.prefillLeft == 0 {
+			e.plan.decoding = append(e.plan.decoding, q)
+			if r := q.remaining(); least == 0 || r < least {
+				least = r
+			}
+			continue
+		}
+		if n := min(q.prefillLeft, budget); n > 0 {
+			budget -= n
+			e.plan.prefill = append(e.plan.prefill, prefillPart{q, n})
+		}
+	}
+	if len(e.plan.prefill) == 0 {
+		e.plan.steps = max(least, 1)
+	}
+	e.plan.duration = time.Duration(e.slowdown * float64(e.model.base+
+		time.Duration(len(e.plan.decoding))*e.model.perSequence+
+		time.Duration(e.model.chunk-budget)*e.model.perPrefill))
+	e.schedule()
+}
+
+func (e *engine) schedule() {
+	e.epoch++
+	epoch := e.epoch
+	e.loop.at(e.plan.start+time.Duration(e.plan.steps)*e.plan.duration, func() {
+		if epoch == e.epoch {
+			e.finishPlan()
+		}
+	})
+}
+
+func (e *engine) finishPlan() {
+	decoding := e.plan.decoding
+	e.execute(e.plan.steps)
+	e.plan.steps = 1
+	for _, part := range e.plan.prefill {
+		q := part.sequence
+		if q.ended {
+			continue
+		}
+		q.prefillLeft -= part.tokens
+		q.prefilled += part.tokens
+		e.computed += part.tokens
+		if q.prefillLeft == 0 {
+			// The step that completes the prompt also yields the first token.
+			e.generate(q, 1)
+			decoding = append(decoding, q)
+		}
+	}
+	for _, q := range decoding {
+		if q.ended || q.remaining() > 0 {
+			continue
+		}
+		if q.generated < q.output {
+			e.crash()
+			return
+		}
+		e.remove(q)
+		e.ended(q, policy.Completed)
+	}
+	e.begin()
+}
+
+// execute generates n tokens for each decoding sequence.
+func (e *engine) execute(n int) {
+	e.stepTime += time.Duration(n) * e.plan.duration
+	e.steps += n
+	if n == 0 {
+		return
+	}
+	for _, q := range e.plan.decoding {
+		if !q.ended {
+			e.generate(q, n)
+		}
+	}
+}
+
+func (e *engine) generate(q *sequence, n int) {
+	if q.generated == 0 {
+		q.firstAt = e.loop.now
+		e.firstToken(q)
+	}
+	q.generated += n
+	e.computed += n
+}
+
+// tokens returns the number of tokens that q has generated by now.
+func (e *engine) tokens(q *sequence) int {
+	if q.ended || q.prefillLeft > 0 || e.plan.steps == 1 || !slices.Contains(e.plan.decoding, q) {
+		return q.generated
+	}
+	return q.generated + min(int((e.loop.now-e.plan.start)/e.plan.duration), e.plan.steps-1)
+}
+
+// admit moves waiting sequences into the batch while it and the KV cache have room.
+func (e *engine) admit() {
+	for len(e.waiting) > 0 && len(e.running) < e.model.batch {
+		q := e.waiting[0]
+		if e.kvUsed+q.kv() > e.model.kvTokens && len(e.running) > 0 {
+			return
+		}
+		e.waiting = slices.Delete(e.waiting, 0, 1)
+		cached := e.cache.use(q.blocks) * blockTokens
+		q.prefillLeft = max(q.prompt-cached, 1)
+		e.kvUsed += q.kv()
+		e.running = append(e.running, q)
+	}
+}
+
+// setSlowdown makes all later steps slower by the factor.
+func (e *engine) setSlowdown(factor float64) {
+	e.interrupt()
+	e.slowdown = factor
+}
+
+// crash ends all sequences and empties the cache.
+func (e *engine) crash() {
+	if !e.up {
+		return
+	}
+	if e.plan.active && e.plan.steps > 1 {
+		e.execute(min(int((e.loop.now-e.plan.start)/e.plan.duration), e.plan.steps-1))
+	}
+	all := append(slices.Clone(e.running), e.waiting...)
+	e.up = false
+	e.epoch++
+	e.plan = plan{}
+	e.running, e.waiting, e.kvUsed = nil, nil, 0
+	e.cache.clear()
+	for _, q := range all {
+		q.ended = true
+		e.ended(q, policy.Crashed)
+	}
+	e.loop.after(restartAfter, func() { e.up = true })
+}
+
+// restartAfter is the time that a crashed engine needs to load its model again.
+const restartAfter = 15 * time.Second
+
+// report describes the engine now.
+func (e *engine) report() policy.LoadReport {
+	if e.plan.active {
+		e.interrupt()
+	}
+	r := policy.LoadReport{
+		Endpoint: e.id, At: e.loop.now, Running: len(e.running), Waiting: len(e.waiting),
+	}
+	if e.steps > 0 {
+		r.BetweenTokens = e.stepTime / time.Duration(e.steps)
+	}
+	e.steps, e.stepTime = 0, 0
+	r.CacheSequence, r.CacheAdded, r.CacheRemoved = e.cache.takeEvents()
+	return r
+}
--- /dev/null
+++ b/internal/bench/loop.go
@@ -0,0 +1,72 @@
+package bench
+
+import (
+	"container/heap"
+	"context"
+	"time"
+)
+
+// loop runs events in the order of their virtual time; events of the same time run in the order
+// in which they were scheduled, which makes a run deterministic.
+type loop struct {
+	now      time.Duration
+	events   eventHeap
+	sequence uint64
+}
+
+type event struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+}
+
+// checkEvery is the number of events between two checks of the context.
+const checkEvery = 4096
+
+func (l *loop) at(t time.Duration, run func()) {
+	l.sequence++
+	heap.Push(&l.events, event{at: max(t, l.now), sequence: l.sequence, run: run})
+}
+
+func (l *loop) after(d time.Duration, run func()) { l.at(l.now+d, run) }
+
+// run executes events until none is left, calling settle after the last event of each instant.
+func (l *loop) run(ctx context.Context, settle func()) error {
+	for n := 0; len(l.events) > 0; n++ {
+		if n%checkEvery == 0 && ctx.Err() != nil {
+			return ctx.Err()
+		}
+		e := heap.Pop(&l.events).(event)
+		l.now = e.at
+		e.run()
+		if len(l.events) == 0 || l.events[0].at > l.now {
+			settle()
+		}
+	}
+	return nil
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].sequence < h[j].sequence
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/bench/scenario.go
@@ -0,0 +1,171 @@
+package bench
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/chivewind/chivewind/policy"
+)
+
+// ScenarioInfo names a scenario and describes it in one sentence.
+type ScenarioInfo struct {
+	Name        string
+	Description string
+}
+
+// scenario is a workload with its faults.
+type scenario struct {
+	ScenarioInfo
+	shape shape
+	// small runs on two small engines, for long runs.
+	small       bool
+	reportLag   time.Duration
+	cacheBlocks int
+	// window is the period over which the lowest class's share is taken.
+	window time.Duration
+	// faults schedules faults and operators' actions.
+	faults func(*sim)
+}
+
+// defaultReportLag is the age of a load report when it arrives.
+const defaultReportLag = 300 * time.Millisecond
+
+// Scenarios lists all scenarios.
+func Scenarios() []ScenarioInfo {
+	var infos []ScenarioInfo
+	for _, s := range scenarios() {
+		infos = append(infos, s.ScenarioInfo)
+	}
+	return infos
+}
+
+func scenarioByName(name string) (scenario, error) {
+	var known []string
+	for _, s := range scenarios() {
+		if s.Name == name {
+			return s.withDefaults(), nil
+		}
+		known = append(known, s.Name)
+	}
+	return scenario{}, fmt.Errorf("unknown scenario %q; one of %s", name, strings.Join(known, ", "))
+}
+
+func (s scenario) withDefaults() scenario {
+	if s.shape.sigma == 0 {
+		s.shape.sigma = defaultSigma
+	}
+	if s.shape.prefixes == 0 {
+		s.shape.prefixes = defaultPrefixes
+		s.shape.prefixBlocks = defaultPrefixBlocks
+	}
+	if s.reportLag == 0 {
+		s.reportLag = defaultReportLag
+	}
+	if s.window == 0 {
+		s.window = 10 * time.Second
+	}
+	return s
+}
+
+func scenarios() []scenario {
+	const s = time.Second
+	burst := shape{
+		horizon: 90 * s, load: 0.5, burstTier: 1, burstLoad: 3, burstFrom: 30 * s, burstTo: 50 * s,
+	}
+	info := func(name, description string) ScenarioInfo { return ScenarioInfo{name, description} }
+	return []scenario{
+		{
+			ScenarioInfo: info("steady", "Steady arrivals of all classes at 70% of the capacity."),
+			shape:        shape{horizon: 90 * s, load: 0.7},
+		},
+		{
+			ScenarioInfo: info("burst", "The class of tier 1 arrives at 3 times the capacity for 20 s."),
+			shape:        burst,
+		},
+		{
+			ScenarioInfo: info("heavy_tail", "Heavy-tailed prompt and answer lengths at 70% of the capacity."),
+			shape:        shape{horizon: 90 * s, load: 0.7, sigma: 1.8},
+		},
+		{
+			ScenarioInfo: info("straggler", "One engine is 5 times slower for 50 s at 70% of the capacity."),
+			shape:        shape{horizon: 90 * s, load: 0.7},
+			faults:       stragglerFault,
+		},
+		{
+			ScenarioInfo: info("crash", "Engines crash four times and restart after 15 s at 70% of the capacity."),
+			shape:        shape{horizon: 90 * s, load: 0.7},
+			faults:       crashFaults,
+		},
+		{
+			ScenarioInfo: info("poison", "Two requests crash each engine that runs them and are resent by their callers."),
+			shape:        shape{horizon: 90 * s, load: 0.6, poisonAt: []time.Duration{15 * s, 45 * s}},
+		},
+		{
+			ScenarioInfo: info("stale_reports", "Load reports arrive 5 s late at 90% of the capacity."),
+			shape:        shape{horizon: 90 * s, load: 0.9},
+			reportLag:    5 * s,
+		},
+		{
+			ScenarioInfo: info("shared_prefix", "Long shared prefixes with a small prefix cache at 90% of the capacity without cache hits."),
+			shape:        shape{horizon: 90 * s, load: 0.9, prefixes: 60, prefixBlocks: 16},
+			cacheBlocks:  128,
+		},
+		{
+			ScenarioInfo: info("large_workspace", "One workspace sends requests of tier 2 at twice the capacity for 40 s."),
+			shape: shape{
+				horizon: 90 * s, load: 0.4, burstTier: 2, burstLoad: 2,
+				burstFrom: 20 * s, burstTo: 60 * s, largeShare: 1,
+			},
+		},
+		{
+			ScenarioInfo: info("preset_switch", "Operators switch presets, which swaps tiers 2 and 3, amid a burst of tier 1."),
+			shape:        burst,
+			faults:       presetSwitch,
+		},
+		{
+			ScenarioInfo: info("floor_day", "Tier 1 arrives at 1.3 times the capacity of two small engines for a day."),
+			shape: shape{
+				horizon: 24 * time.Hour, load: 0.3, burstTier: 1, burstLoad: 1.18,
+				burstFrom: 0, burstTo: 24 * time.Hour,
+			},
+			small:  true,
+			window: time.Minute,
+		},
+	}
+}
+
+func stragglerFault(s *sim) {
+	e := s.engines[s.pickEngine(1)]
+	s.loop.at(20*time.Second, func() { e.setSlowdown(5) })
+	s.loop.at(70*time.Second, func() { e.setSlowdown(1) })
+}
+
+func crashFaults(s *sim) {
+	for i, at := range []time.Duration{20, 21, 45, 60} {
+		e := s.engines[s.pickEngine(i)]
+		s.loop.at(at*time.Second, e.crash)
+	}
+}
+
+// presetSwitch swaps tiers 2 and 3 during the burst, for example to finish overnight work.
+func presetSwitch(s *sim) {
+	s.loop.at(38*time.Second, func() {
+		classes := make([]policy.Class, len(s.classes))
+		copy(classes, s.classes)
+		for i := range classes {
+			switch classes[i].Tier {
+			case 2:
+				classes[i].Tier = 3
+			case 3:
+				classes[i].Tier = 2
+			}
+		}
+		s.setClasses(classes)
+	})
+}
+
+// pickEngine returns a different engine for each i, in an order that depends on the seed.
+func (s *sim) pickEngine(i int) int {
+	return (int(s.seed%uint64(len(s.engines))) + i*3) % len(s.engines)
+}
