--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -85,9 +85,9 @@
 	return result, nil
 }
 
-// runAll returns the outcomes by variant, then by seed.
-func runAll(ctx context.Context, o Options, dep deployment, sc scenario, variants []variant) ([]outcome, error) {
-	runs := make([]outcome, len(variants)*o.Seeds)
+// runAll returns the results by variant, then by seed.
+func runAll(ctx context.Context, o Options, dep deployment, sc scenario, variants []variant) ([]PolicyResult, error) {
+	runs := make([]PolicyResult, len(variants)*o.Seeds)
 	bounds := make([]float64, o.Seeds)
 	for i := range bounds {
 		bounds[i] = bound(dep, sc, o.Seed+uint64(i))
@@ -105,7 +105,7 @@
 			if err := s.run(ctx); err != nil {
 				return err
 			}
-			runs[i] = s.outcome(bounds[i%o.Seeds])
+			runs[i] = s.result(bounds[i%o.Seeds])
 			done <- struct{}{}
 			if o.Progress != nil {
 				o.Progress(len(done), len(runs))
--- a/internal/bench/checker.go
+++ b/internal/bench/checker.go
@@ -155,3 +155,11 @@
 	}
 	return waits, granted
 }
+
+func (v *violations) add(o violations) {
+	v.ShedWhileLowerWaits += o.ShedWhileLowerWaits
+	v.ShedAfterLowerGrant += o.ShedAfterLowerGrant
+	v.ExpiredAfterLowerGrant += o.ExpiredAfterLowerGrant
+	v.PreemptWhileLower += o.PreemptWhileLower
+	v.ExpiredWhileLowerWaits += o.ExpiredWhileLowerWaits
+}
--- a/internal/bench/collector.go
+++ b/internal/bench/collector.go
@@ -19,7 +19,7 @@
 	// goodTokens are the answer tokens of complete answers that met their targets.
 	goodTokens       int
 	shedsByTier      map[int]int
-	shedsByReason    map[policy.ShedReason]int
+	shedsByReason    map[string]int
 	invalidDecisions int
 
 	// shares are the lowest class's shares of the running requests over windows.
@@ -46,7 +46,7 @@
 	m := &collector{
 		classes:       map[*classSpec]*classCount{},
 		shedsByTier:   map[int]int{},
-		shedsByReason: map[policy.ShedReason]int{},
+		shedsByReason: map[string]int{},
 		windowSize:    windowSize,
 		demand:        true,
 	}
@@ -84,7 +84,7 @@
 
 func (m *collector) shed(c *call, tier int, why policy.ShedReason) {
 	m.shedsByTier[tier]++
-	m.shedsByReason[why]++
+	m.shedsByReason[shedNames[why]]++
 }
 
 // complete records a complete answer. The time between tokens is the mean over the answer.
--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -9,7 +9,6 @@
 
 // deployment is a fleet of engines and the classes that use it.
 type deployment struct {
-	name    string
 	zones   []string
 	engines int
 	model   engineModel
@@ -77,76 +76,47 @@
 
 // hokkaido prioritizes attainment: quick questions must stay quick.
 func hokkaido() deployment {
+	const ms, s = time.Millisecond, time.Second
+	question := newClass("question", 1, policy.LateShed, 1200*ms, quickBetween, 0)
+	judging := newClass("judging", 2, policy.LateDemote, 4*s, 60*ms, 0)
+	care := newClass("care_history", 3, policy.LateServe, 0, 0, 120*s)
 	return deployment{
-		name:    "hokkaido",
 		zones:   []string{"sapporo", "asahikawa", "hakodate"},
 		engines: 20,
 		model:   runner,
 		classes: []classSpec{
-			{
-				Class: policy.Class{
-					Name: "question", Tier: 1, Floor: floor, Late: policy.LateShed,
-					FirstToken: 1200 * time.Millisecond, BetweenTokens: quickBetween,
-				},
-				share: 0.40, prompt: 200, output: 120, maxTokens: 1024,
-				patience: 5 * time.Second, patienceTotal: 30 * time.Second,
-			},
-			{
-				Class: policy.Class{
-					Name: "judging", Tier: 2, Floor: floor, Late: policy.LateDemote,
-					FirstToken: 4 * time.Second, BetweenTokens: 60 * time.Millisecond,
-				},
-				share: 0.35, prompt: 1200, output: 300, maxTokens: 2048,
-				patience: 20 * time.Second, patienceTotal: 75 * time.Second,
-			},
-			{
-				Class: policy.Class{
-					Name: "care_history", Tier: 3, Floor: floor, Late: policy.LateServe,
-					Total: 2 * time.Minute,
-				},
-				share: 0.25, prompt: 10_000, output: 600, maxTokens: 4096,
-				patience: 2 * time.Minute, patienceTotal: 3 * time.Minute,
-			},
+			{question, 0.40, 200, 120, 1024, 5 * s, 30 * s},
+			{judging, 0.35, 1200, 300, 2048, 20 * s, 75 * s},
+			{care, 0.25, 10_000, 600, 4096, 120 * s, 180 * s},
 		},
 	}
 }
 
 // almaty prioritizes goodput and little wasted work.
 func almaty() deployment {
+	const ms, s = time.Millisecond, time.Second
+	lotStatus := newClass("lot_status", 1, policy.LateShed, 1200*ms, quickBetween, 0)
+	broker := newClass("broker", 2, policy.LateShed, 2500*ms, 50*ms, 0)
+	dossier := newClass("dossier", 3, policy.LateServe, 0, 0, 600*s)
 	return deployment{
-		name:    "almaty",
 		zones:   []string{"zone-1", "zone-2", "zone-3", "zone-4"},
 		engines: 10,
 		model:   runner,
 		classes: []classSpec{
-			{
-				Class: policy.Class{
-					Name: "lot_status", Tier: 1, Floor: floor, Late: policy.LateShed,
-					FirstToken: 1200 * time.Millisecond, BetweenTokens: quickBetween,
-				},
-				share: 0.35, prompt: 150, output: 80, maxTokens: 512,
-				patience: 5 * time.Second, patienceTotal: 20 * time.Second,
-			},
-			{
-				Class: policy.Class{
-					Name: "broker", Tier: 2, Floor: floor, Late: policy.LateShed,
-					FirstToken: 2500 * time.Millisecond, BetweenTokens: 50 * time.Millisecond,
-				},
-				share: 0.40, prompt: 600, output: 200, maxTokens: 2048,
-				patience: 12 * time.Second, patienceTotal: 70 * time.Second,
-			},
-			{
-				Class: policy.Class{
-					Name: "dossier", Tier: 3, Floor: floor, Late: policy.LateServe,
-					Total: 10 * time.Minute,
-				},
-				share: 0.25, prompt: 6000, output: 1000, maxTokens: 4096,
-				patience: 15 * time.Minute, patienceTotal: 20 * time.Minute,
-			},
+			{lotStatus, 0.35, 150, 80, 512, 5 * s, 20 * s},
+			{broker, 0.40, 600, 200, 2048, 12 * s, 70 * s},
+			{dossier, 0.25, 6000, 1000, 4096, 900 * s, 1200 * s},
 		},
 	}
 }
 
+func newClass(name string, tier int, late policy.LateAction, first, between, total time.Duration) policy.Class {
+	return policy.Class{
+		Name: name, Tier: tier, FirstToken: first, BetweenTokens: between, Total: total,
+		Floor: floor, Late: late,
+	}
+}
+
 // batchFor returns the largest batch whose steps without prompt tokens meet the target.
 func (m engineModel) batchFor(between time.Duration) int {
 	if between <= 0 {
