Print the bench's tables from a Go benchmark

Cause: the figures of docs/MEASUREMENTS.md need a command that anyone can run again.

Change: BenchmarkPolicies runs the scenarios that -bench selects, with flags for seeds and policies. Tests for equal results with any number of workers and for misspelled names. The checker forgets grants before a preset switch, since they followed the old tiers.

Conclusion: the tables can be repeated by seed.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"testing"
 	"time"
 
@@ -65,6 +66,49 @@
 	}
 }
 
+// TestRunIsDeterministic guards against results that depend on the order of parallel runs, and
+// against variants of an ablation that are missing from the results.
+func TestRunIsDeterministic(t *testing.T) {
+	o := Options{
+		Scenario: "crash", Deployment: "almaty", Seed: 11, Seeds: 2, Policies: []string{"policy.fifo_least"},
+		Ablation: map[string]func() policy.Policy{
+			"variant": func() policy.Policy { return baseline.New(baseline.FIFOLeast) },
+		},
+	}
+	var lines []string
+	for _, workers := range []int{1, 4} {
+		o.Workers = workers
+		r, err := Run(context.Background(), o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		line, err := r.JSON()
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines = append(lines, line)
+		if !reflect.DeepEqual(r.Policies["fifo_least"], r.Policies["variant"]) {
+			t.Errorf("seed %d: the same policy under two names has different figures", o.Seed)
+		}
+	}
+	if lines[0] != lines[1] {
+		t.Errorf("seed %d: different results of the same runs:\n%s\n%s", o.Seed, lines[0], lines[1])
+	}
+}
+
+// TestRunRejects guards against a misspelled name that silently measures something else.
+func TestRunRejects(t *testing.T) {
+	for _, o := range []Options{
+		{Scenario: "burts", Deployment: "almaty"},
+		{Scenario: "burst", Deployment: "alamty"},
+		{Scenario: "burst", Deployment: "almaty", Policies: []string{"fifo"}},
+	} {
+		if _, err := Run(context.Background(), o); err == nil {
+			t.Errorf("%+v: no error", o)
+		}
+	}
+}
+
 // TestPoison guards against a request that crashes more than two engines although its caller
 // sends it again.
 func TestPoison(t *testing.T) {
--- a/internal/bench/checker.go
+++ b/internal/bench/checker.go
@@ -65,9 +65,13 @@
 	return c
 }
 
+// setClasses applies a preset. Grants before a switch followed the old tiers, so that they are no
+// evidence against decisions under the new ones.
 func (k *checker) setClasses(classes []policy.Class) {
 	for _, class := range classes {
-		k.classes[class.Name].class = class
+		state := k.classes[class.Name]
+		state.class = class
+		state.lastBeyond = 0
 	}
 }
 
--- /dev/null
+++ b/internal/bench/policies_test.go
@@ -0,0 +1,46 @@
+package bench
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+var (
+	seedFlag     = flag.Uint64("seed", 1, "first seed of BenchmarkPolicies")
+	seedsFlag    = flag.Int("seeds", 10, "number of seeds of BenchmarkPolicies")
+	policiesFlag = flag.String("policies", "", "comma-separated policies of BenchmarkPolicies; empty means all")
+	jsonFlag     = flag.Bool("json", false, "print results of BenchmarkPolicies as JSON")
+)
+
+// BenchmarkPolicies prints the tables of docs/MEASUREMENTS.md. Run it with -benchtime 1x and
+// select scenarios with -bench, for example -bench Policies/hokkaido/burst.
+func BenchmarkPolicies(b *testing.B) {
+	o := Options{Seed: *seedFlag, Seeds: *seedsFlag, Workers: 3}
+	if *policiesFlag != "" {
+		o.Policies = strings.Split(*policiesFlag, ",")
+	}
+	for _, deployment := range Deployments() {
+		for _, sc := range Scenarios() {
+			b.Run(deployment+"/"+sc.Name, func(b *testing.B) {
+				o.Deployment, o.Scenario = deployment, sc.Name
+				for b.Loop() {
+					r, err := Run(context.Background(), o)
+					if err != nil {
+						b.Fatal(err)
+					}
+					text := r.String()
+					if *jsonFlag {
+						if text, err = r.JSON(); err != nil {
+							b.Fatal(err)
+						}
+					}
+					// The log of a benchmark is cut after a few lines.
+					fmt.Printf("\n%s\n%s\n", sc.Description, text)
+				}
+			})
+		}
+	}
+}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chivewind/chivewind/policy"
@@ -187,5 +188,7 @@
 	for _, run := range runs {
 		values = append(values, get(run))
 	}
-	return quantile(values, 0.5), Spread{quantile(values, 0), quantile(values, 1)}
+	slices.Sort(values)
+	n := len(values)
+	return (values[(n-1)/2] + values[n/2]) / 2, Spread{values[0], values[n-1]}
 }
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -33,6 +33,9 @@
 	fmt.Fprintln(w, "policy\tgoodput tokens/s\tof bound\twasted\tsheds by tier\ttier violations\tlowest class min/median")
 	for _, name := range slices.Sorted(maps.Keys(r.Policies)) {
 		p := r.Policies[name]
+		if p.InvalidDecisions > 0 {
+			name += fmt.Sprintf(" (%d invalid decisions)", p.InvalidDecisions)
+		}
 		fmt.Fprintf(w, "%s\t%.0f (%.0f to %.0f)\t%s\t%s%s\t%s\t%d\t%s/%s\n",
 			name, p.Goodput, p.GoodputSpread.Min, p.GoodputSpread.Max, percent(p.GoodputShare),
 			percent(p.WastedWork), reasons(p.WastedByReason), tiers(p.ShedsByTier), p.TierViolations,
