Create poison requests and their resends in one place

Cause: the first request and the resent one were built by two almost equal functions.

Change: one function with the number of resends.

--- a/internal/bench/driver.go
+++ b/internal/bench/driver.go
@@ -48,6 +48,7 @@
 
 // arrive starts a call at its entry daemon.
 func (s *sim) arrive(c *call) {
+	c.arrival = s.loop.now
 	s.metrics.arrive(c)
 	if s.recovery.stopped(c) {
 		s.conclude(c, endFailed)
@@ -245,8 +246,8 @@
 	s.metrics.end(c, how)
 	delete(s.active, c.id)
 	if c.poison && how == endFailed && c.resends < poisonResends {
-		again := s.resend(c)
-		s.loop.at(again.arrival, func() { s.arrive(again) })
+		again := s.poisonCall(c.content, c.resends+1)
+		s.loop.after(time.Second, func() { s.arrive(again) })
 	}
 }
 
@@ -254,20 +255,11 @@
 const poisonResends = 5
 
 // poisonCall returns a request of tier 2 that crashes each engine that runs it.
-func (s *sim) poisonCall(i int) *call {
+func (s *sim) poisonCall(content string, resends int) *call {
 	spec := &s.dep.classes[1]
 	return &call{
-		id: fmt.Sprintf("poison-%d", i), content: fmt.Sprintf("poison-%d", i), class: spec,
+		id: fmt.Sprintf("%s-%d", content, resends), content: content, class: spec,
 		workspace: "workspace-1", zone: s.dep.zones[0], prompt: int(spec.prompt),
-		output: spec.maxTokens, arrival: s.loop.now, poison: true,
-	}
-}
-
-// resend returns the same request as its caller sends it again after an error.
-func (s *sim) resend(c *call) *call {
-	return &call{
-		id: fmt.Sprintf("%s-again-%d", c.content, c.resends+1), content: c.content, class: c.class,
-		workspace: c.workspace, zone: c.zone, prompt: c.prompt, output: c.output,
-		arrival: s.loop.now + time.Second, poison: true, resends: c.resends + 1,
+		output: spec.maxTokens, poison: true, resends: resends,
 	}
 }
--- a/internal/bench/sim.go
+++ b/internal/bench/sim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -112,7 +113,7 @@
 		s.follow(newSource(&s.dep, s.scenario.shape, i, s.seed))
 	}
 	for i, at := range s.scenario.shape.poisonAt {
-		s.loop.at(at, func() { s.arrive(s.poisonCall(i)) })
+		s.loop.at(at, func() { s.arrive(s.poisonCall(fmt.Sprint("poison-", i), 0)) })
 	}
 	for i, e := range s.engines {
 		s.loop.at(time.Duration(i+1)*37*time.Millisecond, func() { s.reportLoad(e) })
