--- /dev/null
+++ b/internal/bench/deployment.go
@@ -0,0 +1,132 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chivewind/chivewind/policy"
+)
+
+// deployment is a fleet of engines and the classes that use it.
+type deployment struct {
+	zones   []string
+	engines int
+	model   engineModel
+	classes []classSpec
+}
+
+// classSpec is a class with its traffic.
+type classSpec struct {
+	policy.Class
+	// share is the class's share of the load, in engine time.
+	share float64
+	// prompt and output are mean numbers of tokens; prompt is without the shared prefix.
+	prompt    float64
+	output    float64
+	maxTokens int
+	// patience is how long a caller waits for the first token, and patienceTotal for the end.
+	patience      time.Duration
+	patienceTotal time.Duration
+}
+
+// quickBetween is the target between tokens of the quick classes; engine capacity is counted at
+// the largest batch that meets it.
+const quickBetween = 34 * time.Millisecond
+
+// runner is the model of today's engines. A full batch of 48 takes 30.6 ms a step, a step with a
+// full chunk of prompt tokens 10 ms more, so that a full engine misses quickBetween.
+var runner = engineModel{
+	base:        9 * time.Millisecond,
+	perSequence: 450 * time.Microsecond,
+	perPrefill:  20 * time.Microsecond,
+	chunk:       512,
+	batch:       48,
+	kvTokens:    150_000,
+	cacheBlocks: 400,
+	slots:       64,
+}
+
+// smallRunner has few and slow slots, which keeps a day of virtual time affordable.
+var smallRunner = engineModel{
+	base:        18 * time.Millisecond,
+	perSequence: 1500 * time.Microsecond,
+	perPrefill:  40 * time.Microsecond,
+	chunk:       256,
+	batch:       8,
+	kvTokens:    60_000,
+	cacheBlocks: 100,
+	slots:       8,
+}
+
+// Deployments lists the names of the deployments.
+func Deployments() []string { return []string{"hokkaido", "almaty"} }
+
+func deploymentByName(name string) (deployment, error) {
+	switch name {
+	case "hokkaido":
+		return hokkaido(), nil
+	case "almaty":
+		return almaty(), nil
+	}
+	return deployment{}, fmt.Errorf("unknown deployment %q; one of %v", name, Deployments())
+}
+
+// floor is the default share of a class.
+const floor = 0.02
+
+// hokkaido prioritizes attainment: quick questions must stay quick.
+func hokkaido() deployment {
+	const ms, s = time.Millisecond, time.Second
+	question := newClass("question", 1, policy.LateShed, 1200*ms, quickBetween, 0)
+	judging := newClass("judging", 2, policy.LateDemote, 4*s, 60*ms, 0)
+	care := newClass("care_history", 3, policy.LateServe, 0, 0, 120*s)
+	return deployment{
+		zones:   []string{"sapporo", "asahikawa", "hakodate"},
+		engines: 20,
+		model:   runner,
+		classes: []classSpec{
+			{question, 0.40, 200, 120, 1024, 5 * s, 30 * s},
+			{judging, 0.35, 1200, 300, 2048, 20 * s, 75 * s},
+			{care, 0.25, 10_000, 600, 4096, 120 * s, 180 * s},
+		},
+	}
+}
+
+// almaty prioritizes goodput and little wasted work.
+func almaty() deployment {
+	const ms, s = time.Millisecond, time.Second
+	lotStatus := newClass("lot_status", 1, policy.LateShed, 1200*ms, quickBetween, 0)
+	broker := newClass("broker", 2, policy.LateShed, 2500*ms, 50*ms, 0)
+	dossier := newClass("dossier", 3, policy.LateServe, 0, 0, 600*s)
+	return deployment{
+		zones:   []string{"zone-1", "zone-2", "zone-3", "zone-4"},
+		engines: 10,
+		model:   runner,
+		classes: []classSpec{
+			{lotStatus, 0.35, 150, 80, 512, 5 * s, 20 * s},
+			{broker, 0.40, 600, 200, 2048, 12 * s, 70 * s},
+			{dossier, 0.25, 6000, 1000, 4096, 900 * s, 1200 * s},
+		},
+	}
+}
+
+func newClass(name string, tier int, late policy.LateAction, first, between, total time.Duration) policy.Class {
+	return policy.Class{
+		Name: name, Tier: tier, FirstToken: first, BetweenTokens: between, Total: total,
+		Floor: floor, Late: late,
+	}
+}
+
+// batchFor returns the largest batch whose steps without prompt tokens meet the target.
+func (m engineModel) batchFor(between time.Duration) int {
+	if between <= 0 {
+		return m.batch
+	}
+	return max(1, min(m.batch, int((between-m.base)/m.perSequence)))
+}
+
+// cost is the engine time of a request at full batches.
+func (m engineModel) cost(between time.Duration, prompt, output float64) float64 {
+	perToken := m.perSequence.Seconds() + m.base.Seconds()/float64(m.batchFor(between))
+	return prompt*m.perPrefill.Seconds() + output*perToken
+}
