Add membership, peer connections, replication and the scheduler process

Cause: The daemon's wiring needs the parts that connect daemons with each other.

Change: rendezvous (xxhash), membership (pure SWIM state machine in membership/swim, UDP transport, HMAC, join, leave, pause detection), peerconn (pool and server over drpc), replica (versions in heartbeats, pulls, exchanges), scheduler (shards, streams, client with failover). Ping in peer.proto gets the loads of a scheduler's shards, so that entry daemons learn them in pongs; Packet.sequence 0 is documented as a packet without an ack. clustertest holds an in-memory network for tests in virtual time.

--- /dev/null
+++ b/internal/cluster/clustertest/members.go
@@ -0,0 +1,92 @@
+package clustertest
+
+import (
+	"sync"
+
+	"github.com/chivewind/chivewind/internal/cluster"
+	"github.com/chivewind/chivewind/internal/rendezvous"
+	"github.com/chivewind/chivewind/peer"
+)
+
+// Members is a fake view that tests set.
+type Members struct {
+	self *peer.Member
+
+	mu          sync.Mutex
+	live        []*peer.Member
+	untrusted   bool
+	subscribers []func()
+}
+
+var _ cluster.Members = (*Members)(nil)
+
+// NewMembers returns a view of a daemon. live must be sorted by id.
+func NewMembers(self *peer.Member, live ...*peer.Member) *Members {
+	return &Members{self: self, live: live}
+}
+
+// Set replaces the live members, which must be sorted by id.
+func (m *Members) Set(live ...*peer.Member) {
+	m.mu.Lock()
+	m.live = live
+	m.mu.Unlock()
+	m.notify()
+}
+
+// SetTrusted sets the answer of Trusted.
+func (m *Members) SetTrusted(trusted bool) {
+	m.mu.Lock()
+	m.untrusted = !trusted
+	m.mu.Unlock()
+	m.notify()
+}
+
+func (m *Members) notify() {
+	m.mu.Lock()
+	subscribers := m.subscribers
+	m.mu.Unlock()
+	for _, f := range subscribers {
+		f()
+	}
+}
+
+// Self implements cluster.Members.
+func (m *Members) Self() *peer.Member { return m.self }
+
+// Live implements cluster.Members.
+func (m *Members) Live() []*peer.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.live
+}
+
+// All implements cluster.Members.
+func (m *Members) All() []*peer.Member { return m.Live() }
+
+// Owners implements cluster.Members.
+func (m *Members) Owners(key string, n int) []*peer.Member {
+	live := m.Live()
+	ids := make([]string, len(live))
+	for i, l := range live {
+		ids[i] = l.Id
+	}
+	var owners []*peer.Member
+	for _, i := range rendezvous.NewSet(ids).Top(rendezvous.Key(key), n) {
+		owners = append(owners, live[i])
+	}
+	return owners
+}
+
+// Subscribe implements cluster.Members.
+func (m *Members) Subscribe(f func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.subscribers = append(m.subscribers[:len(m.subscribers):len(m.subscribers)], f)
+}
+
+// Trusted implements cluster.Members.
+func (m *Members) Trusted() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.untrusted
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,97 @@
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivewind/chivewind/internal/membership/swim"
+	"github.com/chivewind/chivewind/internal/rendezvous"
+	"github.com/chivewind/chivewind/peer"
+)
+
+// view is an immutable copy of the state machine's members.
+type view struct {
+	generation uint64
+	self       *peer.Member
+	live       []*peer.Member
+	all        []*peer.Member
+	set        *rendezvous.Set
+	digest     uint64
+}
+
+func newView(s *swim.State) *view {
+	v := &view{generation: s.Generation(), self: s.Self(), live: s.Live(), all: s.All()}
+	ids := make([]string, len(v.live))
+	for i, m := range v.live {
+		ids[i] = m.Id
+	}
+	v.set = rendezvous.NewSet(ids)
+	v.digest = digest(v.all)
+	return v
+}
+
+// digest is a hash of all reachable members. A suspicion does not change it, since it ends within
+// seconds one way or the other, and dead members do not, since daemons forget them at different times.
+func digest(all []*peer.Member) uint64 {
+	h := xxhash.New()
+	for _, m := range all {
+		state := byte(m.State)
+		switch m.State {
+		case peer.MemberState_MEMBER_STATE_DEAD, peer.MemberState_MEMBER_STATE_LEFT:
+			continue
+		case peer.MemberState_MEMBER_STATE_SUSPECT:
+			state = byte(peer.MemberState_MEMBER_STATE_ALIVE)
+		}
+		_, _ = h.WriteString(m.Id)
+		inc := m.Incarnation
+		_, _ = h.Write([]byte{0, state, byte(inc), byte(inc >> 8), byte(inc >> 16), byte(inc >> 24), byte(inc >> 32), byte(inc >> 40)})
+	}
+	return h.Sum64()
+}
+
+func (v *view) find(id string) *peer.Member {
+	i := sort.Search(len(v.all), func(i int) bool { return v.all[i].Id >= id })
+	if i < len(v.all) && v.all[i].Id == id {
+		return v.all[i]
+	}
+	return nil
+}
+
+// Self implements cluster.Members.
+func (m *Membership) Self() *peer.Member { return m.view.Load().self }
+
+// Live implements cluster.Members.
+func (m *Membership) Live() []*peer.Member { return m.view.Load().live }
+
+// All implements cluster.Members.
+func (m *Membership) All() []*peer.Member { return m.view.Load().all }
+
+// Digest is equal on two daemons that know the same reachable members.
+func (m *Membership) Digest() uint64 { return m.view.Load().digest }
+
+// Owners implements cluster.Members.
+func (m *Membership) Owners(key string, n int) []*peer.Member {
+	v := m.view.Load()
+	top := v.set.Top(rendezvous.Key(key), n)
+	owners := make([]*peer.Member, len(top))
+	for i, at := range top {
+		owners[i] = v.live[at]
+	}
+	return owners
+}
+
+// Subscribe implements cluster.Members.
+func (m *Membership) Subscribe(f func()) {
+	m.subscribersMu.Lock()
+	defer m.subscribersMu.Unlock()
+	// The list is copied, since notify reads it without the lock.
+	m.subscribers = append(m.subscribers[:len(m.subscribers):len(m.subscribers)], f)
+}
+
+// Trusted implements cluster.Members. It also looks at the last tick, because other goroutines may
+// run before the tick loop after a pause.
+func (m *Membership) Trusted() bool {
+	return m.trusted.Load() && m.now()-time.Duration(m.lastTick.Load()) <= PauseLimit
+}
--- /dev/null
+++ b/internal/peerconn/counting.go
@@ -0,0 +1,60 @@
+package peerconn
+
+import (
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// counters counts the traffic between daemons over TCP, TLS included.
+type counters struct {
+	bytesSent, bytesReceived metrics.Counter
+	dials, failures          metrics.Counter
+}
+
+func newCounters(r metrics.Registry, prefix string) counters {
+	if r == nil {
+		r = metrics.NewRegistry()
+	}
+	get := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(prefix+name, r) }
+	return counters{
+		bytesSent: get("bytes_sent"), bytesReceived: get("bytes_received"),
+		dials: get("connections"), failures: get("failures"),
+	}
+}
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	count *counters
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.count.bytesReceived.Inc(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.count.bytesSent.Inc(int64(n))
+	return n, err
+}
+
+// countingListener counts the bytes of accepted connections.
+type countingListener struct {
+	net.Listener
+	count *counters
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.count.dials.Inc(1)
+	return &countingConn{Conn: c, count: l.count}, nil
+}
--- /dev/null
+++ b/internal/replica/sync.go
@@ -0,0 +1,242 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/chivewind/chivewind/internal/membership/swim"
+	"github.com/chivewind/chivewind/peer"
+)
+
+// maxRounds bounds the calls of one exchange.
+const maxRounds = 8
+
+// exchangeLoop exchanges everything with a random peer every 30 s, and earlier when no heartbeat
+// has confirmed the documents for 5 s.
+func (r *Replica) exchangeLoop() {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	// A random first delay spreads the exchanges of daemons that start together.
+	r.mu.Lock()
+	next := r.now() + time.Duration(r.rng.Int64N(int64(exchangeInterval)))
+	r.mu.Unlock()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if r.now() < next && r.LastCheck() < staleAfter {
+			continue
+		}
+		if target := r.random(); target != nil {
+			if r.now() >= next {
+				next = r.now() + exchangeInterval
+			}
+			if err := r.SyncWith(r.ctx, target); err != nil {
+				r.log.Debug("exchange failed", "peer", target.Id, "error", err)
+			}
+		}
+	}
+}
+
+// random returns a random live member other than this daemon.
+func (r *Replica) random() *peer.Member {
+	self := r.members.Self().Id
+	live := r.members.Live()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for range 8 {
+		if len(live) == 0 {
+			return nil
+		}
+		if m := live[r.rng.IntN(len(live))]; m.Id != self {
+			return m
+		}
+	}
+	return nil
+}
+
+// advertiseLoop spreads new versions at once.
+func (r *Replica) advertiseLoop() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-r.advertise:
+			r.members.Advertise()
+		}
+	}
+}
+
+// pull fetches documents from the peer that advertised them.
+func (r *Replica) pull(from *peer.Member, want []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// Under the lock, so that no pull starts while Stop waits for them.
+	if r.ctx.Err() != nil {
+		return
+	}
+	r.running.Go(func() {
+		select {
+		case <-r.ctx.Done():
+			return
+		case r.pulls <- struct{}{}:
+		}
+		defer func() { <-r.pulls }()
+		r.count.pulls.Inc(1)
+		ctx, cancel := context.WithTimeout(r.ctx, syncTimeout)
+		defer cancel()
+		reply, err := r.call(ctx, from, &peer.SyncRequest{From: r.members.Self().Id, Want: want})
+		if err == nil {
+			r.storeAll(reply.Documents)
+		} else {
+			r.count.pullErrors.Inc(1)
+			r.log.Debug("pull failed", "peer", from.Id, "error", err)
+		}
+		r.mu.Lock()
+		for _, name := range want {
+			delete(r.pulling, name)
+		}
+		r.mu.Unlock()
+	})
+}
+
+func (r *Replica) storeAll(documents []*peer.Document) int {
+	stored := 0
+	for _, d := range documents {
+		if r.store(d.Name, d.Version, d.Content) {
+			stored++
+		}
+	}
+	return stored
+}
+
+func (r *Replica) call(ctx context.Context, to *peer.Member, request *peer.SyncRequest) (*peer.SyncReply, error) {
+	client, err := r.peers.Client(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Sync(ctx, request)
+	if err != nil {
+		return nil, oops.With("step", "sync").With("peer", to.PeerAddress).Wrap(err)
+	}
+	return reply, nil
+}
+
+// SyncWith implements membership.Documents: it exchanges members and gets all newer documents of a
+// peer. Older ones of the peer are advertised, and the peer pulls them.
+func (r *Replica) SyncWith(ctx context.Context, member *peer.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	push := []*peer.Member{r.members.Self()}
+	for round := range maxRounds {
+		request := &peer.SyncRequest{From: r.members.Self().Id, Members: push, Versions: r.versions()}
+		reply, err := r.call(ctx, member, request)
+		if err != nil {
+			return err
+		}
+		r.members.Merge(reply.Members)
+		stored := r.storeAll(reply.Documents)
+		push = nil
+		if round == 0 && len(reply.Members) > 0 {
+			push = r.newerMembers(reply.Members)
+		}
+		if stored == 0 && push == nil {
+			r.advertiseNewer(reply.Versions)
+			break
+		}
+	}
+	r.mu.Lock()
+	r.checked = r.now()
+	r.mu.Unlock()
+	return nil
+}
+
+// newerMembers returns the records that a peer with the given records lacks.
+func (r *Replica) newerMembers(theirs []*peer.Member) []*peer.Member {
+	known := make(map[string]*peer.Member, len(theirs))
+	for _, m := range theirs {
+		known[m.Id] = m
+	}
+	var newer []*peer.Member
+	for _, m := range r.members.All() {
+		if their, ok := known[m.Id]; !ok || swim.Supersedes(m, their) {
+			newer = append(newer, m)
+		}
+	}
+	return newer
+}
+
+// advertiseNewer names the documents of which a peer has an older version in the next packets.
+func (r *Replica) advertiseNewer(theirs []*peer.DocumentVersion) {
+	known := make(map[string]uint64, len(theirs))
+	for _, v := range theirs {
+		known[v.Name] = v.Version
+	}
+	found := false
+	r.mu.Lock()
+	for name, d := range r.documents {
+		if d.version > known[name] {
+			r.addRecent(name)
+			found = true
+		}
+	}
+	r.mu.Unlock()
+	if found {
+		r.members.Advertise()
+	}
+}
+
+// Sync answers the Sync call of another daemon.
+func (r *Replica) Sync(_ context.Context, request *peer.SyncRequest) (*peer.SyncReply, error) {
+	r.members.Merge(request.Members)
+	reply := &peer.SyncReply{}
+	if len(request.Want) > 0 {
+		reply.Documents = r.named(request.Want)
+		return reply, nil
+	}
+	theirs := make(map[string]uint64, len(request.Versions))
+	for _, v := range request.Versions {
+		theirs[v.Name] = v.Version
+	}
+	reply.Versions = r.versions()
+	if theirs[membersName] != r.members.Digest() {
+		reply.Members = r.members.All()
+	}
+	reply.Documents = r.newer(theirs)
+	return reply, nil
+}
+
+func (r *Replica) named(names []string) []*peer.Document {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []*peer.Document
+	for _, name := range names {
+		if d, ok := r.documents[name]; ok {
+			list = append(list, &peer.Document{Name: name, Version: d.version, Content: d.content})
+		}
+	}
+	return list
+}
+
+// newer returns documents above the given versions, up to the size of one reply.
+func (r *Replica) newer(theirs map[string]uint64) []*peer.Document {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []*peer.Document
+	size := 0
+	for name, d := range r.documents {
+		if d.version <= theirs[name] {
+			continue
+		}
+		if len(list) > 0 && size+len(d.content) > maxReplyBytes {
+			continue
+		}
+		size += len(d.content)
+		list = append(list, &peer.Document{Name: name, Version: d.version, Content: d.content})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/scheduler/call.go
@@ -0,0 +1,137 @@
+package scheduler
+
+import (
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chivewind/chivewind/internal/dispatch"
+	"github.com/chivewind/chivewind/peer"
+	"github.com/chivewind/chivewind/policy"
+)
+
+// callState is the state of an attempt at the entry daemon.
+type callState uint8
+
+const (
+	callWaiting callState = iota
+	callGranted
+	callDone
+)
+
+// call is one attempt of a request at the entry daemon, from Acquire to Finish.
+type call struct {
+	client  *Client
+	id      policy.AttemptID
+	pool    string
+	acquire *peer.Acquire
+	arrival time.Time
+	// deadline is zero when the request has none.
+	deadline time.Time
+	// result receives nil for a grant, or the error.
+	result    chan error
+	preempted chan struct{}
+
+	tokens     atomic.Int64
+	firstToken atomic.Int64
+
+	// The rest is guarded by Client.mu.
+	state      callState
+	candidates []string
+	// shed is the first candidate's refusal.
+	shed  *dispatch.ShedError
+	shard string
+	link  *link
+	// placed is the shard for which the call is registered on the link.
+	placed string
+	asked  bool
+	// servedAt is when the call last had a scheduler that answers.
+	servedAt   time.Time
+	endpoint   string
+	startBy    time.Time
+	reported   int64
+	wasPreempt bool
+}
+
+var _ dispatch.Slot = (*call)(nil)
+
+func newCall(c *Client, pool string, a *peer.Acquire) *call {
+	now := time.Now()
+	k := &call{
+		client: c, id: attemptID(a.Attempt), pool: pool, acquire: proto.Clone(a).(*peer.Acquire),
+		arrival: now.Add(-micros(a.WaitedUs)), servedAt: now,
+		result: make(chan error, 1), preempted: make(chan struct{}),
+	}
+	if a.RemainingUs > 0 {
+		k.deadline = now.Add(micros(a.RemainingUs))
+	}
+	return k
+}
+
+// Endpoint implements dispatch.Slot.
+func (k *call) Endpoint() string { return k.endpoint }
+
+// StartBy implements dispatch.Slot.
+func (k *call) StartBy() time.Time { return k.startBy }
+
+// Preempted implements dispatch.Slot.
+func (k *call) Preempted() <-chan struct{} { return k.preempted }
+
+// Progress implements dispatch.Slot. It is called for each token and takes no lock.
+func (k *call) Progress(tokens int, firstToken time.Duration) {
+	k.tokens.Store(int64(tokens))
+	if firstToken > 0 {
+		k.firstToken.Store(int64(firstToken))
+	}
+}
+
+// Finish implements dispatch.Slot.
+func (k *call) Finish(outcome peer.Outcome, tokens int, firstToken, duration time.Duration) {
+	k.Progress(tokens, firstToken)
+	c := k.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.state != callGranted {
+		return
+	}
+	// Without a link the scheduler forgets the attempt with its stream.
+	if k.link != nil {
+		k.link.out.put(&peer.ScheduleRequest{Message: &peer.ScheduleRequest_Finish{Finish: &peer.Finish{
+			Attempt: attempt(k.id), Outcome: outcome, Tokens: uint32(tokens),
+			FirstTokenUs: uint64(firstToken.Microseconds()), DurationUs: uint64(duration.Microseconds()),
+		}}})
+	}
+	c.end(k)
+}
+
+// message registers the call with a scheduler: as waiting, or as running.
+func (k *call) message() *peer.ScheduleRequest {
+	a := proto.Clone(k.acquire).(*peer.Acquire)
+	a.Shard = k.shard
+	now := time.Now()
+	a.WaitedUs = uint64(max(0, now.Sub(k.arrival)).Microseconds())
+	if !k.deadline.IsZero() {
+		// At least 1, since 0 means that there is no deadline.
+		a.RemainingUs = uint64(max(1, k.deadline.Sub(now).Microseconds()))
+	}
+	if k.state == callWaiting {
+		return &peer.ScheduleRequest{Message: &peer.ScheduleRequest_Acquire{Acquire: a}}
+	}
+	return &peer.ScheduleRequest{Message: &peer.ScheduleRequest_Resume{Resume: &peer.Resume{
+		Acquire: a, Endpoint: k.endpoint, Tokens: uint32(k.tokens.Load()),
+	}}}
+}
+
+// progress returns the tokens since the last batch, or nil. Client.mu is held.
+func (k *call) progress() *peer.Progress {
+	tokens := k.tokens.Load()
+	if k.state != callGranted || tokens == k.reported {
+		return nil
+	}
+	k.reported = tokens
+	return &peer.Progress{
+		Attempt: attempt(k.id), Tokens: uint32(tokens),
+		FirstTokenUs: uint64(time.Duration(k.firstToken.Load()).Microseconds()),
+	}
+}
--- /dev/null
+++ b/internal/scheduler/link.go
@@ -0,0 +1,207 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/chivewind/chivewind/peer"
+)
+
+// idleClose is how long a stream without calls is kept. At hundreds of daemons most pairs have no
+// request in common at a time, and a ping each second would cost more than a new stream.
+const idleClose = 15 * time.Second
+
+// link is one stream to a scheduler. A link that fails is never used again.
+type link struct {
+	client *Client
+	member *peer.Member
+	out    *outbox[*peer.ScheduleRequest]
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	// Guarded by Client.mu.
+	up     bool
+	usedAt time.Time
+}
+
+// channel carries the messages of a link.
+type channel interface {
+	Send(*peer.ScheduleRequest) error
+	Recv() (*peer.ScheduleReply, error)
+	Close() error
+}
+
+// linkTo returns the link to a member and starts a new one when there is none. c.mu is held.
+func (c *Client) linkTo(m *peer.Member) *link {
+	if l := c.links[m.Id]; l != nil && l.serves(m) {
+		return l
+	}
+	if c.stopped {
+		return nil
+	}
+	if old := c.links[m.Id]; old != nil {
+		old.cancel()
+	}
+	l := &link{client: c, member: m, out: newOutbox[*peer.ScheduleRequest](), usedAt: time.Now()}
+	l.ctx, l.cancel = context.WithCancel(c.ctx)
+	c.links[m.Id] = l
+	c.count.streams.Inc(1)
+	c.running.Go(l.run)
+	return l
+}
+
+// serves says whether the link leads to a member. A member that restarted has a new address or
+// breaks its connections; one that only took a new incarnation keeps them.
+func (l *link) serves(m *peer.Member) bool {
+	return l.ctx.Err() == nil && l.member.Id == m.Id && l.member.PeerAddress == m.PeerAddress
+}
+
+// run connects, and sends and receives until the link fails.
+func (l *link) run() {
+	defer l.client.linkClosed(l)
+	defer l.cancel()
+	defer l.out.close()
+	ch, err := l.connect()
+	if err != nil {
+		l.client.cfg.Log.Debug("no stream to scheduler", "peer", l.member.Id, "error", err)
+		return
+	}
+	// Closing unblocks a Send to a peer that does not read.
+	stop := context.AfterFunc(l.ctx, func() { _ = ch.Close() })
+	defer stop()
+	silence := time.AfterFunc(SilenceTimeout, l.cancel)
+	defer silence.Stop()
+	received := make(chan struct{})
+	go func() {
+		defer close(received)
+		defer l.cancel()
+		for {
+			r, err := ch.Recv()
+			if err != nil {
+				return
+			}
+			silence.Reset(SilenceTimeout)
+			l.client.onReply(l, r)
+		}
+	}()
+	l.sendLoop(ch)
+	l.cancel()
+	_ = ch.Close()
+	<-received
+}
+
+// sendLoop sends queued messages at once, and a ping and a batch of progress each second.
+func (l *link) sendLoop(ch channel) {
+	ticker := time.NewTicker(PingInterval)
+	defer ticker.Stop()
+	sequence := uint64(1)
+	// The first ping says at once whether the scheduler answers.
+	err := ch.Send(ping(sequence))
+	for err == nil {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-l.out.ready:
+			items, _ := l.out.take()
+			for _, m := range items {
+				if err = ch.Send(m); err != nil {
+					return
+				}
+			}
+		case <-ticker.C:
+			batch, idle := l.client.batch(l)
+			if idle {
+				return
+			}
+			if len(batch) > 0 {
+				err = ch.Send(&peer.ScheduleRequest{Message: &peer.ScheduleRequest_Progress{
+					Progress: &peer.ProgressBatch{Items: batch},
+				}})
+			}
+			if err == nil {
+				sequence++
+				err = ch.Send(ping(sequence))
+			}
+		}
+	}
+}
+
+func ping(sequence uint64) *peer.ScheduleRequest {
+	return &peer.ScheduleRequest{Message: &peer.ScheduleRequest_Ping{Ping: &peer.Ping{Sequence: sequence}}}
+}
+
+// connect opens the stream, or the local session when this daemon is the scheduler.
+func (l *link) connect() (channel, error) {
+	c := l.client
+	self := c.cfg.Members.Self()
+	if l.member.Id == self.Id && c.cfg.Local != nil {
+		return newLocalChannel(c.cfg.Local, self), nil
+	}
+	client, err := c.cfg.Peers.Client(l.ctx, l.member)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := client.Schedule(l.ctx)
+	if err != nil {
+		return nil, err
+	}
+	hello := &peer.Hello{MemberId: self.Id, Incarnation: self.Incarnation}
+	if err := stream.Send(&peer.ScheduleRequest{Message: &peer.ScheduleRequest_Hello{Hello: hello}}); err != nil {
+		_ = stream.Close()
+		return nil, err
+	}
+	return stream, nil
+}
+
+// batch returns the progress of the link's calls. idle says that the link is closed for lack of use.
+func (c *Client) batch(l *link) (items []*peer.Progress, idle bool) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.calls {
+		if k.link != l {
+			continue
+		}
+		l.usedAt = now
+		if p := k.progress(); p != nil {
+			items = append(items, p)
+		}
+	}
+	if now.Sub(l.usedAt) < idleClose {
+		return items, false
+	}
+	if c.links[l.member.Id] == l {
+		delete(c.links, l.member.Id)
+	}
+	l.cancel()
+	return nil, true
+}
+
+// linkClosed places the calls of a failed link again.
+func (c *Client) linkClosed(l *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.links[l.member.Id] == l {
+		delete(c.links, l.member.Id)
+	}
+	affected := false
+	for _, k := range c.calls {
+		if k.link == l {
+			k.link = nil
+			affected = true
+		}
+	}
+	if !affected {
+		return
+	}
+	f := c.failures[l.member.Id]
+	if f == nil {
+		f = &failure{}
+		c.failures[l.member.Id] = f
+	}
+	if l.up {
+		f.count = 0
+	}
+	f.add(time.Now(), true)
+	c.wake()
+}
--- /dev/null
+++ b/internal/scheduler/poll.go
@@ -0,0 +1,61 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/chivewind/chivewind/config"
+)
+
+// pollTimeout bounds one load report. A slow endpoint delays no other endpoint's report.
+const pollTimeout = time.Second
+
+// pollLoop polls the load reports of the shard's endpoints.
+func (h *shard) pollLoop() {
+	var polls sync.WaitGroup
+	defer polls.Wait()
+	var mu sync.Mutex
+	busy := map[string]bool{}
+	ticker := time.NewTicker(h.scheduler.cfg.PollInterval)
+	defer ticker.Stop()
+	for {
+		h.mu.Lock()
+		endpoints := h.endpoints
+		h.mu.Unlock()
+		for _, e := range endpoints {
+			mu.Lock()
+			skip := busy[e.ID]
+			busy[e.ID] = true
+			mu.Unlock()
+			if skip {
+				continue
+			}
+			polls.Go(func() {
+				h.poll(e)
+				mu.Lock()
+				delete(busy, e.ID)
+				mu.Unlock()
+			})
+		}
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (h *shard) poll(e config.Endpoint) {
+	ctx, cancel := context.WithTimeout(h.ctx, pollTimeout)
+	defer cancel()
+	// The report's time is that of the question: the answer may be late.
+	asked := h.scheduler.now()
+	report, age, err := h.scheduler.cfg.Poll(ctx, e)
+	if err != nil {
+		return
+	}
+	report.Endpoint = e.ID
+	report.At = asked - age
+	h.report(report)
+}
--- /dev/null
+++ b/internal/scheduler/reply.go
@@ -0,0 +1,113 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/chivewind/chivewind/internal/dispatch"
+	"github.com/chivewind/chivewind/peer"
+)
+
+// onReply processes a message from a scheduler. A reply counts only for a call that is bound to
+// the same link; others are late.
+func (c *Client) onReply(l *link, r *peer.ScheduleReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !l.up {
+		l.up = true
+		delete(c.failures, l.member.Id)
+	}
+	switch m := r.Message.(type) {
+	case *peer.ScheduleReply_Grant:
+		c.onGrant(l, m.Grant)
+	case *peer.ScheduleReply_Shed:
+		c.onShed(l, m.Shed)
+	case *peer.ScheduleReply_Moved:
+		c.onMoved(l, m.Moved)
+	case *peer.ScheduleReply_Preempt:
+		if k := c.bound(l, m.Preempt.Attempt); k != nil && k.state == callGranted && !k.wasPreempt {
+			k.wasPreempt = true
+			close(k.preempted)
+		}
+	case *peer.ScheduleReply_Pong:
+		c.observe(m.Pong.Loads)
+	}
+}
+
+// bound returns the call of an attempt if it is bound to the link. c.mu is held.
+func (c *Client) bound(l *link, a *peer.Attempt) *call {
+	k := c.calls[attemptID(a)]
+	if k == nil || k.link != l {
+		c.count.late.Inc(1)
+		return nil
+	}
+	return k
+}
+
+func (c *Client) onGrant(l *link, g *peer.Grant) {
+	k := c.bound(l, g.Attempt)
+	if k == nil {
+		// The slot goes back: the caller is gone or another scheduler serves the attempt.
+		l.out.put(&peer.ScheduleRequest{Message: &peer.ScheduleRequest_Cancel{
+			Cancel: &peer.Cancel{Attempt: g.Attempt},
+		}})
+		return
+	}
+	if k.state != callWaiting {
+		c.count.late.Inc(1)
+		return
+	}
+	k.state = callGranted
+	k.endpoint = g.Endpoint
+	k.startBy = time.Now().Add(micros(g.StartWithinUs))
+	k.result <- nil
+}
+
+// onShed tries the second candidate once.
+func (c *Client) onShed(l *link, s *peer.Shed) {
+	k := c.bound(l, s.Attempt)
+	if k == nil || k.state != callWaiting {
+		return
+	}
+	shed := &dispatch.ShedError{Reason: s.Reason, RetryAfter: micros(s.RetryAfterUs)}
+	if k.shed != nil && k.shed.RetryAfter < shed.RetryAfter {
+		shed.RetryAfter = k.shed.RetryAfter
+	}
+	if k.shed == nil && s.Reason != ReasonExpired {
+		for _, shard := range k.candidates {
+			if shard != k.shard {
+				k.shed = shed
+				k.link = nil
+				k.shard = shard
+				c.count.second.Inc(1)
+				c.place(k)
+				return
+			}
+		}
+	}
+	c.end(k)
+	k.result <- shed
+}
+
+// onMoved places calls again whose scheduler does not own their shard. When the view still names
+// the same owner, the daemons' views or configurations differ for a moment and it is asked later.
+func (c *Client) onMoved(l *link, m *peer.Moved) {
+	c.count.moved.Inc(1)
+	key := moveKey(m.Shard, l.member.Id)
+	f := c.moves[key]
+	if f == nil {
+		f = &failure{}
+		c.moves[key] = f
+	}
+	affected := false
+	for _, k := range c.calls {
+		if k.link != l || k.placed != m.Shard || (m.Attempt != nil && k.id != attemptID(m.Attempt)) {
+			continue
+		}
+		k.link = nil
+		affected = true
+	}
+	if affected {
+		f.add(time.Now(), false)
+		c.wake()
+	}
+}
--- /dev/null
+++ b/internal/scheduler/session.go
@@ -0,0 +1,178 @@
+package scheduler
+
+import (
+	"errors"
+	"time"
+
+	"storj.io/drpc/drpcctx"
+
+	"github.com/chivewind/chivewind/peer"
+)
+
+// errNoHello ends a stream that does not begin with a Hello.
+var errNoHello = errors.New("schedule stream: first message is not a Hello")
+
+// session is one entry daemon's stream at this scheduler. handle and close are called by one
+// goroutine; send by any.
+type session struct {
+	scheduler   *Scheduler
+	member      string
+	incarnation uint64
+	out         *outbox[*peer.ScheduleReply]
+	abort       func()
+	// reported holds the shard loads in the last pong.
+	reported map[string]*peer.ShardLoad
+}
+
+// open adds a session. A session of an earlier process or of an earlier incarnation of the same
+// daemon ends, since its requests are either gone or registered again.
+func (s *Scheduler) open(member string, incarnation uint64, abort func()) *session {
+	x := &session{
+		scheduler: s, member: member, incarnation: incarnation, abort: abort,
+		out: newOutbox[*peer.ScheduleReply](), reported: map[string]*peer.ShardLoad{},
+	}
+	var old []*session
+	s.mu.Lock()
+	for y := range s.sessions {
+		if y.member == member && y.incarnation < incarnation {
+			old = append(old, y)
+		}
+	}
+	s.sessions[x] = struct{}{}
+	s.mu.Unlock()
+	for _, y := range old {
+		y.release()
+		y.abort()
+	}
+	return x
+}
+
+// close releases the session's requests.
+func (x *session) close() {
+	x.scheduler.mu.Lock()
+	delete(x.scheduler.sessions, x)
+	x.scheduler.mu.Unlock()
+	x.out.close()
+	x.release()
+}
+
+func (x *session) release() {
+	for _, h := range x.scheduler.owned() {
+		h.release(x)
+	}
+}
+
+func (x *session) send(r *peer.ScheduleReply) { x.out.put(r) }
+
+// moved tells the entry daemon that this daemon does not own a shard. Without an attempt it is
+// meant for all requests of the shard on this stream.
+func (x *session) moved(shard string, a *peer.Attempt) {
+	x.scheduler.count.moved.Inc(1)
+	x.send(&peer.ScheduleReply{Message: &peer.ScheduleReply_Moved{Moved: &peer.Moved{Attempt: a, Shard: shard}}})
+}
+
+// handle processes one message.
+func (x *session) handle(m *peer.ScheduleRequest) {
+	switch m := m.Message.(type) {
+	case *peer.ScheduleRequest_Acquire:
+		if h := x.scheduler.lookup(m.Acquire.Shard); h == nil || !h.acquire(x, m.Acquire) {
+			x.moved(m.Acquire.Shard, m.Acquire.Attempt)
+		}
+	case *peer.ScheduleRequest_Resume:
+		a := m.Resume.GetAcquire()
+		if h := x.scheduler.lookup(a.GetShard()); h == nil || !h.resume(x, m.Resume) {
+			x.moved(a.GetShard(), a.GetAttempt())
+		}
+	case *peer.ScheduleRequest_Progress:
+		for _, p := range m.Progress.Items {
+			x.each(p.Attempt, func(h *shard) { h.progress(p) })
+		}
+	case *peer.ScheduleRequest_Finish:
+		x.each(m.Finish.Attempt, func(h *shard) { h.finish(m.Finish) })
+	case *peer.ScheduleRequest_Cancel:
+		x.each(m.Cancel.Attempt, func(h *shard) { h.cancelAttempt(m.Cancel) })
+	case *peer.ScheduleRequest_Ping:
+		x.send(&peer.ScheduleReply{Message: &peer.ScheduleReply_Pong{Pong: &peer.Ping{
+			Sequence: m.Ping.Sequence, Loads: x.changedLoads(),
+		}}})
+	}
+}
+
+// each calls f for the shard that knows a request; those messages do not name their shard.
+func (x *session) each(a *peer.Attempt, f func(*shard)) {
+	for _, h := range x.scheduler.owned() {
+		if h.knows(a.GetRequestId()) {
+			f(h)
+			return
+		}
+	}
+	x.scheduler.count.stale.Inc(1)
+}
+
+func (h *shard) knows(requestID string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.entries[requestID] != nil
+}
+
+// changedLoads returns the shard loads that differ from those in the last pong.
+func (x *session) changedLoads() []*peer.ShardLoad {
+	var changed []*peer.ShardLoad
+	for _, l := range x.scheduler.ShardLoads() {
+		last := x.reported[l.Shard]
+		if last == nil || last.Waiting != l.Waiting || last.Running != l.Running || last.Slots != l.Slots {
+			x.reported[l.Shard] = l
+			changed = append(changed, l)
+		}
+	}
+	return changed
+}
+
+// Schedule serves the stream of one entry daemon. The stream has its own connection, which is
+// closed at the end, also when the entry daemon has been silent.
+func (s *Scheduler) Schedule(stream peer.DRPCPeer_ScheduleStream) error {
+	abort := func() {
+		if tr, ok := drpcctx.Transport(stream.Context()); ok {
+			_ = tr.Close()
+		}
+	}
+	defer abort()
+	silence := time.AfterFunc(SilenceTimeout, abort)
+	defer silence.Stop()
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	hello := first.GetHello()
+	if hello == nil {
+		return errNoHello
+	}
+	x := s.open(hello.MemberId, hello.Incarnation, abort)
+	defer x.close()
+	go x.sendLoop(stream)
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		silence.Reset(SilenceTimeout)
+		x.handle(m)
+	}
+}
+
+// sendLoop sends replies until the session is closed. A failed send breaks the connection, which
+// ends the receiving side.
+func (x *session) sendLoop(stream peer.DRPCPeer_ScheduleStream) {
+	for range x.out.ready {
+		replies, open := x.out.take()
+		for _, r := range replies {
+			if err := stream.Send(r); err != nil {
+				x.abort()
+				return
+			}
+		}
+		if !open {
+			return
+		}
+	}
+}
