Add leases with fencing tokens

Cause: ledger partitions and commands to endpoints need one holder at a time, and writes of an earlier holder must be refused.

Change: lease.Session is one lease of the key-value service for all roles of a daemon; lease.Holder is one role with its fencing token. Validity counts from before the request, less 10%, on the monotonic and the wall clock. Keys left by a lost reply are removed before the role is taken again. clustertest has in-memory Members, Documents and Peers.

Conclusion: in virtual time no two holders are valid at once with a pause, a lost reply or a lost request at each call.

--- /dev/null
+++ b/internal/cluster/clustertest/clustertest.go
@@ -0,0 +1,253 @@
+// Package clustertest has in-memory implementations of the interfaces of package cluster for tests.
+package clustertest
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivewind/chivewind/internal/cluster"
+	"github.com/chivewind/chivewind/peer"
+)
+
+// Members is one daemon's view with a live set that tests change.
+type Members struct {
+	mu          sync.Mutex
+	self        *peer.Member
+	live        []*peer.Member
+	all         map[string]*peer.Member
+	untrusted   bool
+	subscribers []func()
+}
+
+var _ cluster.Members = (*Members)(nil)
+
+// NewMembers returns the view of a daemon in which the given daemons are live.
+func NewMembers(self string, live ...string) *Members {
+	m := &Members{self: &peer.Member{Id: self, Incarnation: 1, PeerAddress: self}, all: map[string]*peer.Member{}}
+	m.all[self] = m.self
+	m.SetLive(live...)
+	return m
+}
+
+// SetLive replaces the live set.
+func (m *Members) SetLive(ids ...string) {
+	m.change(func() {
+		m.live = nil
+		sort.Strings(ids)
+		for _, id := range ids {
+			if m.all[id] == nil {
+				m.all[id] = &peer.Member{Id: id, Incarnation: 1, PeerAddress: id}
+			}
+			m.live = append(m.live, m.all[id])
+		}
+	})
+}
+
+// SetTrusted changes whether the view is fresh.
+func (m *Members) SetTrusted(trusted bool) { m.change(func() { m.untrusted = !trusted }) }
+
+func (m *Members) change(apply func()) {
+	m.mu.Lock()
+	apply()
+	subscribers := m.subscribers
+	m.mu.Unlock()
+	for _, f := range subscribers {
+		f()
+	}
+}
+
+// Self implements cluster.Members.
+func (m *Members) Self() *peer.Member { return m.self }
+
+// Live implements cluster.Members.
+func (m *Members) Live() []*peer.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.live
+}
+
+// All implements cluster.Members.
+func (m *Members) All() []*peer.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []*peer.Member
+	for _, member := range m.all {
+		all = append(all, member)
+	}
+	return all
+}
+
+// Owners implements cluster.Members.
+func (m *Members) Owners(key string, n int) []*peer.Member {
+	live := append([]*peer.Member(nil), m.Live()...)
+	weight := func(i int) uint64 { return xxhash.Sum64String(key + "\x00" + live[i].Id) }
+	sort.Slice(live, func(i, j int) bool { return weight(i) > weight(j) })
+	return live[:min(n, len(live))]
+}
+
+// Subscribe implements cluster.Members.
+func (m *Members) Subscribe(f func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.subscribers = append(m.subscribers, f)
+}
+
+// Trusted implements cluster.Members.
+func (m *Members) Trusted() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.untrusted
+}
+
+// Documents is one daemon's documents. Linked ones exchange what is published.
+type Documents struct {
+	mu          sync.Mutex
+	docs        map[string]document
+	subscribers []func(string, uint64, []byte)
+	links       []*Documents
+}
+
+type document struct {
+	version uint64
+	content []byte
+}
+
+var _ cluster.Documents = (*Documents)(nil)
+
+// NewDocuments returns an empty set of documents.
+func NewDocuments() *Documents { return &Documents{docs: map[string]document{}} }
+
+// Link makes each of the sets pass on what is published to it, and copies what they have now.
+func Link(sets ...*Documents) {
+	for _, d := range sets {
+		d.mu.Lock()
+		d.links = sets
+		docs := make(map[string]document, len(d.docs))
+		for name, doc := range d.docs {
+			docs[name] = doc
+		}
+		d.mu.Unlock()
+		for _, other := range sets {
+			for name, doc := range docs {
+				other.store(name, doc)
+			}
+		}
+	}
+}
+
+// Unlink stops the exchange for one set.
+func (d *Documents) Unlink() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.links = nil
+}
+
+// Publish implements cluster.Documents.
+func (d *Documents) Publish(name string, version uint64, content []byte) bool {
+	doc := document{version, content}
+	stored := d.store(name, doc)
+	d.mu.Lock()
+	links := d.links
+	d.mu.Unlock()
+	for _, other := range links {
+		other.store(name, doc)
+	}
+	return stored
+}
+
+func (d *Documents) store(name string, doc document) bool {
+	d.mu.Lock()
+	if doc.version <= d.docs[name].version {
+		d.mu.Unlock()
+		return false
+	}
+	d.docs[name] = doc
+	subscribers := d.subscribers
+	d.mu.Unlock()
+	for _, f := range subscribers {
+		f(name, doc.version, doc.content)
+	}
+	return true
+}
+
+// Get implements cluster.Documents.
+func (d *Documents) Get(name string) (uint64, []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.docs[name].version, d.docs[name].content
+}
+
+// Subscribe implements cluster.Documents.
+func (d *Documents) Subscribe(f func(string, uint64, []byte)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.subscribers = append(d.subscribers, f)
+}
+
+// LedgerServer is the part of the peer service that Peers can reach.
+type LedgerServer interface {
+	Serve(context.Context, *peer.LedgerRequest) (*peer.LedgerReply, error)
+}
+
+// Peers connects daemons by direct calls.
+type Peers struct {
+	mu      sync.Mutex
+	servers map[string]LedgerServer
+	// intercept, when set, runs each call in place of the direct one.
+	intercept func(ctx context.Context, to string, call func() (*peer.LedgerReply, error)) (*peer.LedgerReply, error)
+}
+
+var _ cluster.Peers = (*Peers)(nil)
+
+// NewPeers returns a set of daemons without servers.
+func NewPeers() *Peers { return &Peers{servers: map[string]LedgerServer{}} }
+
+// Serve makes a daemon reachable; a nil server makes it unreachable.
+func (p *Peers) Serve(id string, s LedgerServer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers[id] = s
+}
+
+// Intercept sets a function that may delay, drop or repeat each call.
+func (p *Peers) Intercept(f func(ctx context.Context, to string, call func() (*peer.LedgerReply, error)) (*peer.LedgerReply, error)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.intercept = f
+}
+
+// Client implements cluster.Peers.
+func (p *Peers) Client(_ context.Context, member *peer.Member) (peer.DRPCPeerClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.servers[member.Id] == nil {
+		return nil, errors.New("daemon " + member.Id + " is not reachable")
+	}
+	return &client{peers: p, id: member.Id}, nil
+}
+
+// client implements the calls that tests use; the others panic.
+type client struct {
+	peer.DRPCPeerClient
+	peers *Peers
+	id    string
+}
+
+// Ledger calls the server. Like a real one, the call may take effect after ctx has ended.
+func (c *client) Ledger(ctx context.Context, req *peer.LedgerRequest) (*peer.LedgerReply, error) {
+	c.peers.mu.Lock()
+	server, intercept := c.peers.servers[c.id], c.peers.intercept
+	c.peers.mu.Unlock()
+	if server == nil {
+		return nil, errors.New("connection lost")
+	}
+	call := func() (*peer.LedgerReply, error) { return server.Serve(ctx, req) }
+	if intercept != nil {
+		return intercept(ctx, c.id, call)
+	}
+	return call()
+}
--- /dev/null
+++ b/internal/configstore/spread_test.go
@@ -0,0 +1,156 @@
+package configstore
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/chivewind/chivewind/internal/cluster/clustertest"
+	"github.com/chivewind/chivewind/internal/standin/kv"
+	"github.com/chivewind/chivewind/platform"
+)
+
+// fleet starts daemons whose documents are linked.
+func fleet(t *testing.T, store *kv.Store, ids ...string) []*daemon {
+	var daemons []*daemon
+	var docs []*clustertest.Documents
+	for _, id := range ids {
+		d := newDaemon(t, store, id, ids...)
+		daemons = append(daemons, d)
+		docs = append(docs, d.docs)
+	}
+	clustertest.Link(docs...)
+	return daemons
+}
+
+// TestSpread guards against daemons that miss a change when watchers fail, against more than three
+// watches for the fleet, and against snapshots whose revisions go down.
+func TestSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ids := []string{"a", "b", "c", "d", "e", "f"}
+		daemons := fleet(t, kv.NewStore(), ids...)
+		wantOutcome(t, "first", daemons[0].Apply(t.Context(), alice, testConfig(), 0), Accepted, 1)
+		time.Sleep(5 * time.Second)
+		open := 0
+		for _, d := range daemons {
+			open += d.kv.Counters().Watches
+			wantInForce(t, "after the first change", d, 1, "day")
+		}
+		if open != watchers {
+			t.Errorf("%d watches, want %d", open, watchers)
+		}
+		// Two watchers fail, and the writer cannot spread its change itself.
+		var live []string
+		failed := 0
+		for _, d := range daemons {
+			if d.kv.Counters().Watches > 0 && failed < 2 {
+				failed++
+				d.stop()
+				continue
+			}
+			live = append(live, d.members.Self().Id)
+		}
+		for _, d := range daemons {
+			d.members.SetLive(live...)
+		}
+		time.Sleep(time.Second)
+		writer := newDaemon(t, daemons[0].kv.Store(), "writer", "writer")
+		wantOutcome(t, "switch", writer.SwitchPreset(t.Context(), alice, "peak", 1), Accepted, 2)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		for _, d := range daemons {
+			if slices.Contains(live, d.members.Self().Id) {
+				wantInForce(t, "after the failure of watchers", d, 2, "peak")
+				if !slices.IsSorted(d.seen) {
+					t.Errorf("revisions %v", d.seen)
+				}
+			}
+		}
+	})
+}
+
+// TestOutageStart guards against a daemon that cannot start from its peers while the service is
+// down, and against one that has no peers and does not read the service.
+func TestOutageStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.NewStore()
+		a := newDaemon(t, store, "a", "a", "b", "c", "d", "e")
+		wantOutcome(t, "first", a.Apply(t.Context(), alice, testConfig(), 0), Accepted, 1)
+		b := newDaemon(t, store, "b", "a", "b", "c", "d", "e")
+		b.kv.SetHang(true)
+		clustertest.Link(a.docs, b.docs)
+		time.Sleep(time.Second)
+		wantInForce(t, "from a peer", b, 1, "day")
+		if b.SwitchPreset(t.Context(), alice, "peak", 1).Outcome != Rejected {
+			t.Error("a change during an outage is not rejected")
+		}
+		c := newDaemon(t, store, "c", "a", "b", "c", "d", "e")
+		time.Sleep(peerWait + 2*time.Second)
+		wantInForce(t, "from the service", c, 1, "day")
+	})
+}
+
+var rangeAll = platform.RangeRequest{Key: dataPrefix, Prefix: true}
+
+func restore(t *testing.T, store *kv.Store, old platform.KeyValue) {
+	t.Helper()
+	if _, err := store.Txn(platform.Txn{Then: []platform.Op{{Key: old.Key, Value: old.Value}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestOlderPeer guards against an older head, from a peer that restarts with old documents or from a
+// restored service, that replaces a newer one.
+func TestOlderPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.NewStore()
+		daemons := fleet(t, store, "a", "b")
+		a, b := daemons[0], daemons[1]
+		wantOutcome(t, "first", a.Apply(t.Context(), alice, testConfig(), 0), Accepted, 1)
+		old := store.Range(rangeAll)
+		wantOutcome(t, "second", a.SwitchPreset(t.Context(), alice, "peak", 1), Accepted, 2)
+		time.Sleep(time.Second)
+		b.docs.Unlink()
+		// The service comes back with the data of revision 1.
+		for _, kv := range old.KVs {
+			restore(t, store, kv)
+		}
+		time.Sleep(5 * time.Second)
+		for _, d := range daemons {
+			wantInForce(t, "after the restoration", d, 2, "peak")
+			if d.counters.olderHeads.Count() == 0 {
+				t.Error("the older head is not counted")
+			}
+		}
+		if b.docs.Publish(keyHead, 1, old.KVs[0].Value) {
+			t.Error("an older document is stored")
+		}
+	})
+}
+
+// TestMissingPart guards against a snapshot that mixes parts of two revisions, and against a daemon
+// that waits forever for a part.
+func TestMissingPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.NewStore()
+		a := newDaemon(t, store, "a", "a")
+		wantOutcome(t, "first", a.Apply(t.Context(), alice, testConfig(), 0), Accepted, 1)
+		changed := testConfig()
+		changed.Workspaces[7].Weight = 2
+		wantOutcome(t, "second", a.Apply(t.Context(), alice, changed, 1), Accepted, 2)
+		// b is no watcher and gets only the head from its peers.
+		b := newDaemon(t, store, "b", "w", "x", "y")
+		version, raw := a.docs.Get(keyHead)
+		b.docs.Publish(keyHead, version, raw)
+		time.Sleep(peerWait / 2)
+		if b.Snapshot() != nil {
+			t.Error("a snapshot without parts")
+		}
+		time.Sleep(2 * peerWait)
+		wantInForce(t, "after reading the service", b, 2, "day")
+		if w := b.Snapshot().Workspaces["w07"]; w.Weight != 2 {
+			t.Errorf("workspace %+v is of the older revision", w)
+		}
+	})
+}
--- /dev/null
+++ b/internal/configstore/store_test.go
@@ -0,0 +1,223 @@
+package configstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/internal/cluster/clustertest"
+	"github.com/chivewind/chivewind/internal/standin/kv"
+)
+
+// alice is the operator of most changes.
+var alice = Actor{"alice", "10.0.0.9:1234"}
+
+// daemon is a store with its own connections to the service and to its peers.
+type daemon struct {
+	*Store
+	kv      *kv.Client
+	members *clustertest.Members
+	docs    *clustertest.Documents
+	seen    []uint64
+	stop    func()
+}
+
+func newDaemon(t *testing.T, store *kv.Store, id string, live ...string) *daemon {
+	d := &daemon{kv: kv.NewClient(store), members: clustertest.NewMembers(id, live...), docs: clustertest.NewDocuments()}
+	d.Store = New(Options{
+		KV: d.kv, Members: d.members, Documents: d.docs, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+		Validate: func(c *config.Config) error {
+			if len(c.Pools) > 1 {
+				return errors.New("too many pools")
+			}
+			return nil
+		},
+	})
+	d.Subscribe(func(s *config.Snapshot) { d.seen = append(d.seen, s.Revision) })
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.Run(ctx)
+	}()
+	d.stop = func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(func() {
+		d.stop()
+		time.Sleep(time.Hour) // Delayed writes of the test end within this time.
+	})
+	return d
+}
+
+func testConfig() *config.Config {
+	c := &config.Config{
+		Preset: "day",
+		Presets: []config.Preset{
+			{Name: "day", Classes: []config.Class{{Name: "quick", Tier: 1}}},
+			{Name: "peak", Classes: []config.Class{{Name: "quick", Tier: 2}}},
+			{Name: "night", Classes: []config.Class{{Name: "quick", Tier: 3}}},
+		},
+		Pools: []config.Pool{{Name: "judges", Kind: config.KindEngine}},
+	}
+	for i := range 100 {
+		c.Workspaces = append(c.Workspaces, config.Workspace{Name: fmt.Sprintf("w%02d", i), DefaultClass: "quick"})
+	}
+	return c
+}
+
+func wantOutcome(t *testing.T, desc string, r Result, want Outcome, revision uint64) {
+	t.Helper()
+	if r.Outcome != want || (want == Accepted && r.Revision != revision) || r.Attempt == "" {
+		t.Errorf("%s: got %+v, want %s, revision %d", desc, r, want, revision)
+	}
+}
+
+func wantInForce(t *testing.T, desc string, d *daemon, revision uint64, preset string) {
+	t.Helper()
+	s := d.Snapshot()
+	if s == nil {
+		t.Errorf("%s: no snapshot, want revision %d", desc, revision)
+	} else if s.Revision != revision || s.Config.Preset != preset || len(s.Config.Workspaces) != 100 {
+		t.Errorf("%s: revision %d, preset %s, %d workspaces; want revision %d, preset %s",
+			desc, s.Revision, s.Config.Preset, len(s.Config.Workspaces), revision, preset)
+	}
+}
+
+// TestChanges guards against changes that are lost, accepted on a stale version or not audited.
+func TestChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.NewStore()
+		d := newDaemon(t, store, "a", "a")
+		ctx := t.Context()
+		tooMany := testConfig()
+		tooMany.Pools = append(tooMany.Pools, config.Pool{Name: "more"})
+		peak := config.Preset{Name: "peak", Classes: []config.Class{{Name: "quick", Tier: 1}}}
+		for _, c := range []struct {
+			desc     string
+			change   func() Result
+			want     Outcome
+			revision uint64
+		}{
+			{"first", func() Result { return d.Apply(ctx, alice, testConfig(), 0) }, Accepted, 1},
+			{"stale base", func() Result { return d.Apply(ctx, alice, testConfig(), 0) }, Conflicting, 0},
+			{"invalid", func() Result { return d.Apply(ctx, alice, tooMany, 1) }, Invalid, 0},
+			{"switch", func() Result { return d.SwitchPreset(ctx, alice, "peak", 1) }, Accepted, 2},
+			{"edit", func() Result { return d.ApplyPreset(ctx, alice, peak, 1) }, Accepted, 3},
+			{"stale edit", func() Result { return d.ApplyPreset(ctx, alice, peak, 1) }, Conflicting, 0},
+			{"switch to an edited preset", func() Result { return d.SwitchPreset(ctx, alice, "peak", 1) }, Conflicting, 0},
+			{"switch to an unedited preset", func() Result { return d.SwitchPreset(ctx, alice, "night", 1) }, Accepted, 4},
+			{"unknown preset", func() Result { return d.SwitchPreset(ctx, alice, "dusk", 1) }, Invalid, 0},
+		} {
+			wantOutcome(t, c.desc, c.change(), c.want, c.revision)
+		}
+		wantInForce(t, "at the end", d, 4, "night")
+		entries, err := d.Audit(ctx, 100)
+		if err != nil || len(entries) != 9 {
+			t.Fatalf("audit: %d entries, %v; want 9", len(entries), err)
+		}
+		e := entries[1]
+		if e.Operator != "alice" || e.Address != alice.Address || e.FromPreset != "peak" || e.ToPreset != "night" ||
+			e.FromRevision != 3 || e.ToRevision != 4 || e.Outcome != Accepted || len(e.Changes) != 1 {
+			t.Errorf("audit entry %+v", e)
+		}
+		if history, err := d.History(ctx, 100); err != nil || len(history) != 4 {
+			t.Errorf("history: %d entries, %v; want 4", len(history), err)
+		}
+	})
+}
+
+// TestAuditBound guards against an audit trail that grows without limit or loses recent entries.
+func TestAuditBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDaemon(t, kv.NewStore(), "a", "a")
+		for range keptEntries + 10 {
+			d.SwitchPreset(t.Context(), alice, "none", 1)
+		}
+		entries, err := d.Audit(t.Context(), 2*keptEntries)
+		if err != nil || len(entries) != keptEntries || entries[0].Sequence != keptEntries+10 {
+			t.Errorf("%d entries, %v", len(entries), err)
+		}
+	})
+}
+
+// TestRace guards against two racing operators who both win, and against a loser who does not see
+// both versions.
+func TestRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.NewStore()
+		a, b := newDaemon(t, store, "a", "a", "b"), newDaemon(t, store, "b", "a", "b")
+		wantOutcome(t, "first", a.Apply(t.Context(), alice, testConfig(), 0), Accepted, 1)
+		a.kv.FailWrite(1, kv.Fault{Before: time.Second})
+		loser := make(chan Result, 1)
+		go func() { loser <- a.SwitchPreset(t.Context(), alice, "night", 1) }()
+		time.Sleep(500 * time.Millisecond)
+		wantOutcome(t, "winner", b.SwitchPreset(t.Context(), Actor{"bob", ""}, "peak", 1), Accepted, 2)
+		r := <-loser
+		wantOutcome(t, "loser", r, Conflicting, 0)
+		if r.Conflict == nil || r.Conflict.ActivePreset != "peak" || r.Conflict.CurrentPreset.Name != "night" {
+			t.Errorf("conflict %+v", r.Conflict)
+		}
+	})
+}
+
+// TestLostReply guards against a change whose reported outcome differs from what took effect, for
+// each write of a change and each way to lose its reply, and for a service that stays away.
+func TestLostReply(t *testing.T) {
+	const minutes = 10 * time.Minute
+	for _, c := range []struct {
+		desc   string
+		faults map[int]kv.Fault
+		outage time.Duration
+		want   Outcome
+		final  Outcome
+	}{
+		{"reply lost", map[int]kv.Fault{1: {Drop: true}}, 0, Accepted, Accepted},
+		{"request lost", map[int]kv.Fault{1: {Skip: true}}, 0, Rejected, Rejected},
+		{"late", map[int]kv.Fault{1: {Before: 30 * time.Second}}, 0, Rejected, Rejected},
+		{"late and fencing reply lost", map[int]kv.Fault{1: {Before: minutes}, 2: {Drop: true}}, 0, Rejected, Rejected},
+		{"late and fencing request lost", map[int]kv.Fault{1: {Before: minutes}, 2: {Skip: true}}, 0, Rejected, Rejected},
+		{"late, before the late fencing write", map[int]kv.Fault{1: {Before: 3 * time.Second}, 2: {Before: minutes}}, 0, Accepted, Accepted},
+		{"reply lost, then outage", map[int]kv.Fault{1: {Drop: true}}, minutes, Unknown, Accepted},
+		{"request lost, then outage", map[int]kv.Fault{1: {Skip: true}}, minutes, Unknown, Rejected},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDaemon(t, kv.NewStore(), "a", "a")
+				wantOutcome(t, "first", d.Apply(t.Context(), alice, testConfig(), 0), Accepted, 1)
+				for n, f := range c.faults {
+					d.kv.FailWrite(n, f)
+				}
+				if c.outage > 0 {
+					time.AfterFunc(time.Second, func() { d.kv.SetDown(true) })
+					time.AfterFunc(c.outage, func() { d.kv.SetDown(false) })
+				}
+				r := d.SwitchPreset(t.Context(), alice, "peak", 1)
+				wantOutcome(t, "switch", r, c.want, 2)
+				if c.want == Unknown {
+					wantOutcome(t, "during the outage", d.ApplyPreset(t.Context(), alice, config.Preset{}, 0), Rejected, 0)
+				}
+				time.Sleep(2 * minutes)
+				if got, err := d.Attempt(t.Context(), r.Attempt); err != nil || got.Outcome != c.final {
+					t.Errorf("query: %+v, %v; want %s", got, err, c.final)
+				}
+				revision, preset := uint64(1), "day"
+				if c.final == Accepted {
+					revision, preset = 2, "peak"
+				}
+				wantInForce(t, "at the end", d, revision, preset)
+				if e, ok, err := d.findEntry(t.Context(), r.Attempt); !ok || e.Outcome != c.final {
+					t.Errorf("last audit entry %+v, %v", e, err)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/configstore/watch.go
@@ -0,0 +1,159 @@
+package configstore
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/chivewind/chivewind/platform"
+)
+
+const (
+	// watchRole is the rendezvous key of the watchers.
+	watchRole = "config-watch"
+	// watchers is the number of daemons that watch the service, for the whole fleet.
+	watchers = 3
+	// watchBackoff is the mean time before a failed watch is restarted.
+	watchBackoff = time.Second
+)
+
+// watcher runs the watch while this daemon is one of the watchers. It belongs to Run's goroutine.
+type watcher struct {
+	store  *Store
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// reconcile starts or stops the watch after a change of the members.
+func (w *watcher) reconcile(ctx context.Context) {
+	owner := false
+	self := w.store.Members.Self().Id
+	for _, m := range w.store.Members.Owners(watchRole, watchers) {
+		owner = owner || m.Id == self
+	}
+	switch {
+	case owner && w.cancel == nil:
+		watchCtx, cancel := context.WithCancel(ctx)
+		w.cancel = cancel
+		w.done.Go(func() { w.store.watch(watchCtx) })
+	case !owner && w.cancel != nil:
+		w.stop()
+	}
+}
+
+func (w *watcher) stop() {
+	if w.cancel != nil {
+		w.cancel()
+		w.done.Wait()
+		w.cancel = nil
+	}
+}
+
+// watch publishes what the service holds, until ctx ends. After a failure it starts over with a
+// full read, since a restarted watch may have missed changes.
+func (s *Store) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := s.watchOnce(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		s.counters.watchRestarts.Inc(1)
+		s.Log.Debug("configuration watch ended", "error", err)
+		pause := watchBackoff/2 + rand.N(watchBackoff)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// watchOnce reads the configuration and follows its changes until the watch fails.
+func (s *Store) watchOnce(ctx context.Context) error {
+	reply, err := s.read(ctx)
+	if err != nil {
+		return err
+	}
+	kvs := map[string]platform.KeyValue{}
+	for _, kv := range reply.KVs {
+		kvs[kv.Key] = kv
+	}
+	s.publishKeys(kvs)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies, err := s.KV.Watch(ctx, dataPrefix, reply.Revision+1)
+	if err != nil {
+		return err
+	}
+	for r := range replies {
+		if r.Err != nil {
+			return r.Err
+		}
+		for _, e := range r.Events {
+			if e.Deleted {
+				delete(kvs, e.KV.Key)
+			} else {
+				kvs[e.KV.Key] = e.KV
+			}
+		}
+		if len(r.Events) > 0 {
+			s.publishKeys(maps.Clone(kvs))
+		}
+	}
+	return ctx.Err()
+}
+
+// read lists the head and the parts as of one revision.
+func (s *Store) read(ctx context.Context) (platform.RangeReply, error) {
+	s.counters.serviceReads.Inc(1)
+	reply, err := s.KV.Range(ctx, platform.RangeRequest{Key: dataPrefix, Prefix: true})
+	if err != nil {
+		return reply, oops.With("step", "read configuration").Wrap(err)
+	}
+	return reply, nil
+}
+
+// Refresh reads the configuration from the service and publishes it. It is for a daemon whose
+// peers do not answer.
+func (s *Store) Refresh(ctx context.Context) error {
+	reply, err := s.read(ctx)
+	if err != nil {
+		return err
+	}
+	kvs := map[string]platform.KeyValue{}
+	for _, kv := range reply.KVs {
+		kvs[kv.Key] = kv
+	}
+	s.publishKeys(kvs)
+	return nil
+}
+
+// publishKeys publishes the head and the parts that keys hold.
+func (s *Store) publishKeys(kvs map[string]platform.KeyValue) {
+	st, err := decodeState(kvs)
+	if err != nil {
+		s.Log.Error("configuration in the service is malformed", "error", err)
+		return
+	}
+	s.publish(&st.head, st.raw, st.parts)
+	s.signal()
+}
+
+// decodeState sorts keys into the head and the parts.
+func decodeState(kvs map[string]platform.KeyValue) (*state, error) {
+	st := &state{parts: map[string][]byte{}}
+	var err error
+	if kv, ok := kvs[keyHead]; ok {
+		st.head, st.raw, st.modified, err = decodeHead([]platform.KeyValue{kv})
+	}
+	for key, kv := range kvs {
+		if name, ok := strings.CutPrefix(key, partPrefix); ok {
+			st.parts[name] = kv.Value
+		}
+	}
+	return st, err
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,264 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/chivewind/chivewind/internal/standin/kv"
+	"github.com/chivewind/chivewind/platform"
+)
+
+const (
+	testTTL = 10 * time.Second
+	role    = "role"
+	// pause is longer than a time to live, as a paused VM is.
+	pause = 3 * testTTL
+)
+
+// daemon is a session with its own client, so that faults hit only this daemon.
+type daemon struct {
+	*Session
+	kv *kv.Client
+}
+
+func newDaemon(t *testing.T, store *kv.Store, id string) *daemon {
+	client := kv.NewClient(store)
+	s := New(client, id, testTTL, hclog.NewNullLogger())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		// Delayed writes of the test end within this time.
+		time.Sleep(2 * pause)
+	})
+	return &daemon{s, client}
+}
+
+// acquire tries until the role is free.
+func (d *daemon) acquire(t *testing.T, limit time.Duration) *Holder {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		h, err := d.Acquire(t.Context(), role)
+		if err == nil {
+			return h
+		}
+	}
+	return nil
+}
+
+// write makes a fenced write and says whether it took effect.
+func write(t *testing.T, store *kv.Store, h *Holder, value string) bool {
+	t.Helper()
+	reply, err := store.Txn(platform.Txn{
+		If:   []platform.Compare{h.Fence()},
+		Then: []platform.Op{{Key: "guarded", Value: []byte(value)}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply.Succeeded
+}
+
+// TestLifeCycle guards against roles that are given twice, tokens that do not grow, and roles that
+// are lost although their lease is renewed.
+func TestLifeCycle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.NewStore()
+		a, b := newDaemon(t, store, "a"), newDaemon(t, store, "b")
+		first := a.acquire(t, time.Second)
+		if _, err := b.Acquire(t.Context(), role); !errors.Is(err, ErrHeld) {
+			t.Fatalf("second holder: %v, want ErrHeld", err)
+		}
+		time.Sleep(10 * testTTL)
+		if !first.Valid(time.Now()) || !write(t, store, first, "a") {
+			t.Fatal("a renewed role is not valid")
+		}
+		if err := first.Release(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		second := b.acquire(t, time.Second)
+		if second == nil || second.Token() <= first.Token() {
+			t.Fatalf("after a release: %+v, want a token above %d", second, first.Token())
+		}
+		if first.Valid(time.Now()) || write(t, store, first, "a") {
+			t.Error("a released role can still write")
+		}
+		if err := b.Close(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if third := a.acquire(t, time.Second); third == nil || third.Token() <= second.Token() {
+			t.Errorf("after the close of a session: %+v", third)
+		}
+	})
+}
+
+// TestMargin guards against a holder that counts its lease from the reply instead of the request,
+// or that uses it to the last moment.
+func TestMargin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := kv.NewClient(kv.NewStore())
+		client.FailWrite(1, kv.Fault{After: time.Second})
+		s := New(client, "a", testTTL, hclog.NewNullLogger())
+		start := time.Now()
+		h, err := s.Acquire(t.Context(), role)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range []struct {
+			after time.Duration
+			want  bool
+		}{{testTTL*9/10 - 1, true}, {testTTL * 9 / 10, false}, {testTTL, false}} {
+			if got := h.Valid(start.Add(c.after)); got != c.want {
+				t.Errorf("%s after the request: valid %v, want %v", c.after, got, c.want)
+			}
+		}
+		// A wall clock that jumped ahead of the monotonic one: the VM was suspended.
+		if h.Valid(start.Round(0).Add(testTTL)) {
+			t.Error("valid after a suspension")
+		}
+	})
+}
+
+// TestPause guards against two daemons that both consider a role valid, and against writes of the
+// earlier one, when a daemon is paused at any of its calls.
+func TestPause(t *testing.T) {
+	for write := 1; write <= 2; write++ {
+		for _, c := range []struct {
+			desc  string
+			fault kv.Fault
+		}{
+			{"before the call", kv.Fault{Before: pause}},
+			{"before the reply", kv.Fault{After: pause}},
+			{"reply lost", kv.Fault{Drop: true}},
+			{"request lost", kv.Fault{Skip: true}},
+		} {
+			for _, timeout := range []time.Duration{2 * time.Second, 10 * pause} {
+				t.Run(fmt.Sprintf("write %d %s, timeout %s", write, c.desc, timeout), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { testPause(t, write, c.fault, timeout) })
+				})
+			}
+		}
+	}
+}
+
+func testPause(t *testing.T, n int, fault kv.Fault, timeout time.Duration) {
+	store := kv.NewStore()
+	a, b := newDaemon(t, store, "a"), newDaemon(t, store, "b")
+	a.kv.Timeout = timeout
+	a.kv.FailWrite(n, fault)
+	var held atomic.Pointer[Holder]
+	ctx, cancel := context.WithTimeout(t.Context(), 5*pause)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil && held.Load() == nil {
+			if h, err := a.Acquire(ctx, role); err == nil {
+				held.Store(h)
+			}
+			time.Sleep(time.Second)
+		}
+	}()
+	time.Sleep(time.Second)
+	second := b.acquire(t, 3*pause)
+	for range 100 {
+		time.Sleep(pause / 20)
+		now := time.Now()
+		first := held.Load()
+		if first == nil || second == nil {
+			continue
+		}
+		if first.Valid(now) && second.Valid(now) {
+			t.Fatal("two holders at once")
+		}
+		if !second.Lost() && write(t, store, first, "a") {
+			t.Fatal("the earlier holder has written")
+		}
+	}
+	if held.Load() == nil && second == nil {
+		t.Error("no daemon got the role")
+	}
+}
+
+// TestOutage guards against a role that stays valid while its lease cannot be renewed, and against
+// one that is not available after the outage.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.NewStore()
+		a, b := newDaemon(t, store, "a"), newDaemon(t, store, "b")
+		h := a.acquire(t, time.Second)
+		a.kv.SetHang(true)
+		time.Sleep(testTTL)
+		if h.Valid(time.Now()) {
+			t.Error("valid although the lease cannot be renewed")
+		}
+		next := b.acquire(t, testTTL)
+		if next == nil {
+			t.Fatal("the role of an unreachable daemon stays taken")
+		}
+		a.kv.SetHang(false)
+		time.Sleep(testTTL)
+		if !h.Lost() || h.Valid(time.Now()) {
+			t.Error("the lost role is valid again")
+		}
+		next.Release(t.Context())
+		if a.acquire(t, testTTL) == nil {
+			t.Error("the daemon cannot take the role again")
+		}
+	})
+}
+
+// TestLostRelease guards against a role that stays taken, or a later holder that loses its key, when
+// the reply to a release is lost or the release takes effect late.
+func TestLostRelease(t *testing.T) {
+	for _, c := range []struct {
+		desc  string
+		fault kv.Fault
+	}{
+		{"reply lost", kv.Fault{Drop: true}},
+		{"request lost", kv.Fault{Skip: true}},
+		{"late", kv.Fault{Before: pause}},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := kv.NewStore()
+				a, b := newDaemon(t, store, "a"), newDaemon(t, store, "b")
+				other, err := a.Acquire(t.Context(), "other")
+				if err != nil {
+					t.Fatal(err)
+				}
+				first := a.acquire(t, time.Second)
+				a.kv.FailWrite(1, c.fault)
+				if err := first.Release(t.Context()); !errors.Is(err, platform.ErrUnknown) {
+					t.Fatalf("release: %v, want ErrUnknown", err)
+				}
+				again := a.acquire(t, testTTL)
+				if again == nil {
+					t.Fatal("the daemon cannot take its role again")
+				}
+				time.Sleep(2 * pause)
+				if !again.Valid(time.Now()) || !write(t, store, again, "a") {
+					t.Error("the late release hit the next holder")
+				}
+				a.kv.FailWrite(1, c.fault)
+				again.Release(t.Context())
+				if b.acquire(t, testTTL) == nil {
+					t.Error("the role stays taken while the lease is renewed for another role")
+				}
+				if !other.Valid(time.Now()) {
+					t.Error("the other role is lost")
+				}
+			})
+		})
+	}
+}
