--- a/internal/configstore/change.go
+++ b/internal/configstore/change.go
@@ -220,14 +220,10 @@
 	if err != nil {
 		return nil, seq, err
 	}
-	reply, err := s.read(ctx)
+	kvs, _, err := s.read(ctx)
 	if err != nil {
 		return nil, seq, err
 	}
-	kvs := map[string]platform.KeyValue{}
-	for _, kv := range reply.KVs {
-		kvs[kv.Key] = kv
-	}
 	st, err := decodeState(kvs)
 	if err != nil {
 		return nil, seq, err
--- a/internal/configstore/settle.go
+++ b/internal/configstore/settle.go
@@ -185,11 +185,21 @@
 			return
 		case <-ticker.C:
 		}
-		for s.writePending(ctx) || s.settleOne(ctx) {
+		for s.workOne(ctx) {
 		}
 	}
 }
 
+func (s *Store) workOne(ctx context.Context) bool {
+	s.mu.Lock()
+	pending := len(s.pending)
+	s.mu.Unlock()
+	if pending > 0 {
+		return s.writePending(ctx)
+	}
+	return s.settleOne(ctx)
+}
+
 // settleOne settles the oldest open attempt. It returns false when there is none or it fails.
 func (s *Store) settleOne(ctx context.Context) bool {
 	s.mu.Lock()
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -42,10 +42,8 @@
 	wake chan struct{}
 
 	// assembling allows one assembly at a time, so that snapshots appear in order.
-	assembling sync.Mutex
-	mu         sync.Mutex
-	// headDigest is the digest of the head that the snapshot was made from.
-	headDigest  string
+	assembling  sync.Mutex
+	mu          sync.Mutex
 	subscribers []func(*config.Snapshot)
 	// pending are audit entries that could not be written yet.
 	pending []Entry
--- a/internal/configstore/watch.go
+++ b/internal/configstore/watch.go
@@ -74,18 +74,14 @@
 
 // watchOnce reads the configuration and follows its changes until the watch fails.
 func (s *Store) watchOnce(ctx context.Context) error {
-	reply, err := s.read(ctx)
+	kvs, revision, err := s.read(ctx)
 	if err != nil {
 		return err
 	}
-	kvs := map[string]platform.KeyValue{}
-	for _, kv := range reply.KVs {
-		kvs[kv.Key] = kv
-	}
 	s.publishKeys(kvs)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	replies, err := s.KV.Watch(ctx, dataPrefix, reply.Revision+1)
+	replies, err := s.KV.Watch(ctx, dataPrefix, revision+1)
 	if err != nil {
 		return err
 	}
@@ -107,27 +103,27 @@
 	return ctx.Err()
 }
 
-// read lists the head and the parts as of one revision.
-func (s *Store) read(ctx context.Context) (platform.RangeReply, error) {
+// read returns the head and the parts by key as of one revision of the service.
+func (s *Store) read(ctx context.Context) (map[string]platform.KeyValue, int64, error) {
 	s.counters.serviceReads.Inc(1)
 	reply, err := s.KV.Range(ctx, platform.RangeRequest{Key: dataPrefix, Prefix: true})
 	if err != nil {
-		return reply, oops.With("step", "read configuration").Wrap(err)
+		return nil, 0, oops.With("step", "read configuration").Wrap(err)
+	}
+	kvs := map[string]platform.KeyValue{}
+	for _, kv := range reply.KVs {
+		kvs[kv.Key] = kv
 	}
-	return reply, nil
+	return kvs, reply.Revision, nil
 }
 
 // Refresh reads the configuration from the service and publishes it. It is for a daemon whose
 // peers do not answer.
 func (s *Store) Refresh(ctx context.Context) error {
-	reply, err := s.read(ctx)
+	kvs, _, err := s.read(ctx)
 	if err != nil {
 		return err
 	}
-	kvs := map[string]platform.KeyValue{}
-	for _, kv := range reply.KVs {
-		kvs[kv.Key] = kv
-	}
 	s.publishKeys(kvs)
 	return nil
 }
