Add the request path from callers to endpoints

Cause: the daemon needs a path from a caller's request to an endpoint that neither loses nor repeats tokens or non-idempotent calls.

--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -111,6 +111,9 @@
 	return s.Workspaces[name], ok
 }
 
+// HasKeys says whether any workspace has a key. Without keys, callers name their workspace.
+func (s *Snapshot) HasKeys() bool { return len(s.keys) > 0 }
+
 // RouteFor returns the route with the longest prefix of path.
 func (s *Snapshot) RouteFor(path string) (Route, bool) {
 	var best Route
--- /dev/null
+++ b/endpoint/transfer.go
@@ -0,0 +1,198 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/chivewind/chivewind/internal/httpclient"
+)
+
+// Causes of a canceled attempt.
+var (
+	errFirstToken    = errors.New("no first token within the limit")
+	errBetweenTokens = errors.New("no further token within the limit")
+	// ErrLengthUnknown means that an answer had neither a length nor an end marker, so that a
+	// truncated answer cannot be told from a whole one.
+	ErrLengthUnknown = errors.New("answer has neither a length nor an end marker")
+)
+
+const copyBufferSize = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
+
+// Transfer is the exchange of one attempt over HTTP: it watches the time limits and classifies
+// failures. It is used by one goroutine.
+type Transfer struct {
+	// Response is the answer's header.
+	Response *http.Response
+
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer
+	attempt  *Attempt
+	exchange *httpclient.Exchange
+	start    time.Time
+	started  atomic.Bool
+	result   Result
+}
+
+// Begin sends the request. A nil Transfer means that the attempt has ended with the result.
+func Begin(ctx context.Context, c *httpclient.Client, req *http.Request, a *Attempt, fresh bool) (*Transfer, Result) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	t := &Transfer{ctx: ctx, cancel: cancel, attempt: a, start: time.Now()}
+	if a.FirstToken > 0 {
+		t.timer = time.AfterFunc(a.FirstToken, t.expire)
+	}
+	var err error
+	t.exchange, err = c.Send(req.WithContext(ctx), fresh)
+	if err != nil {
+		r := t.Fail(err)
+		t.Close()
+		return nil, r
+	}
+	t.Response = t.exchange.Response
+	t.result.Status = t.Response.StatusCode
+	t.result.Sent = true
+	t.result.RetryAfter = retryAfter(t.Response.Header)
+	if t.result.Status == http.StatusServiceUnavailable && t.Response.Header.Get(HeaderNotRun) == "true" {
+		t.result.NotRun = true
+		t.result.Err = errors.New("endpoint refused the request without running it")
+		t.Close()
+		return nil, t.result
+	}
+	return t, Result{}
+}
+
+func (t *Transfer) expire() {
+	if t.started.Load() {
+		t.cancel(errBetweenTokens)
+		return
+	}
+	t.cancel(errFirstToken)
+}
+
+// Progress restarts the limit between tokens.
+func (t *Transfer) Progress() {
+	if !t.started.Load() {
+		t.started.Store(true)
+		t.result.FirstTokenAfter = max(time.Since(t.start), 1)
+	}
+	switch {
+	case t.attempt.BetweenTokens > 0 && t.timer != nil:
+		t.timer.Reset(t.attempt.BetweenTokens)
+	case t.timer != nil:
+		t.timer.Stop()
+	}
+}
+
+// Token counts a delivered token.
+func (t *Transfer) Token() { t.result.Tokens++ }
+
+// Fail ends the transfer and classifies the error.
+func (t *Transfer) Fail(err error) Result {
+	r := t.result
+	r.Sent = r.Sent || t.exchange.Sent()
+	r.Err = err
+	switch cause := context.Cause(t.ctx); {
+	case errors.Is(cause, errFirstToken):
+		r.Timeout = TimeoutFirstToken
+		r.Err = cause
+	case errors.Is(cause, errBetweenTokens):
+		r.Timeout = TimeoutBetweenTokens
+		r.Err = cause
+	case cause != nil:
+		r.Canceled = true
+		r.Err = cause
+	case r.Sent && httpclient.Broken(err):
+		r.Crashed = !t.exchange.Stale()
+	}
+	return r
+}
+
+// Reject ends the transfer because of the answer's content, not of its connection.
+func (t *Transfer) Reject(err error) Result {
+	r := t.result
+	r.Err = err
+	return r
+}
+
+// Complete ends the transfer after a whole answer.
+func (t *Transfer) Complete() Result {
+	r := t.result
+	r.Complete = true
+	return r
+}
+
+// Close releases the connection. It is closed, not reused, when the answer was not read to its end.
+func (t *Transfer) Close() {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	if t.exchange != nil && t.exchange.Response != nil {
+		_ = t.exchange.Response.Body.Close()
+	}
+	t.cancel(context.Canceled)
+}
+
+// CopyBody hands the answer's body to the sink and checks its end.
+func (t *Transfer) CopyBody(s Sink) Result {
+	if err := s.Head(t.Response.StatusCode, t.Response.Header); err != nil {
+		return t.SinkFailed(err)
+	}
+	buf := copyBuffers.Get().(*[copyBufferSize]byte)
+	defer copyBuffers.Put(buf)
+	t.Progress()
+	for {
+		n, err := t.Response.Body.Read(buf[:])
+		if n > 0 {
+			t.Progress()
+			if sinkErr := s.Body(buf[:n]); sinkErr != nil {
+				return t.SinkFailed(sinkErr)
+			}
+		}
+		if err == io.EOF {
+			return t.checkEnd()
+		}
+		if err != nil {
+			return t.Fail(err)
+		}
+		if n < len(buf) {
+			if sinkErr := s.Flush(); sinkErr != nil {
+				return t.SinkFailed(sinkErr)
+			}
+		}
+	}
+}
+
+// SinkFailed ends the transfer because of the receiver, which is no fault of the endpoint.
+func (t *Transfer) SinkFailed(err error) Result {
+	t.cancel(fmt.Errorf("deliver the answer: %w", err))
+	return t.Fail(err)
+}
+
+// checkEnd distinguishes a whole body from one that merely ended with the connection.
+func (t *Transfer) checkEnd() Result {
+	resp := t.Response
+	bodiless := resp.Request.Method == http.MethodHead ||
+		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !bodiless {
+		return t.Reject(ErrLengthUnknown)
+	}
+	return t.Complete()
+}
+
+// retryAfter reads the header in its form of seconds.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/internal/dispatch/relay.go
@@ -0,0 +1,309 @@
+package dispatch
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/endpoint"
+)
+
+const (
+	// keepWhole is the size up to which an answer that is not streamed is held back until it is
+	// complete, so that a failed attempt can be repeated unseen.
+	keepWhole = 1 << 20
+	// progressInterval is the least time between two progress reports of a request. Schedulers
+	// receive progress once a second.
+	progressInterval = 250 * time.Millisecond
+)
+
+var (
+	errCallerGone = errors.New("the caller is gone")
+	errStale      = errors.New("event of an attempt that is no longer current")
+	errGap        = errors.New("the endpoint left out a token")
+)
+
+// relay hands the answer of a request's current attempt to the caller. It outlives attempts: it knows
+// what the caller already has.
+type relay struct {
+	r   *Request
+	out Response
+
+	mu sync.Mutex
+	// current is the number of the attempt whose events are accepted.
+	current uint32
+	// started says that the caller has received the header.
+	started bool
+	// tokens and text are what the caller has of a streamed answer.
+	tokens int
+	text   []byte
+	// opaque says that a token had no text, so that the partial answer cannot be continued.
+	opaque bool
+	// opened says that the caller has received an event without a token, which engines send first.
+	opened   bool
+	finished bool
+	// continuedAt is the number of tokens that the caller had when the current attempt began.
+	continuedAt int
+	// identity is the identity of the answer's first chunk, which all chunks carry.
+	identity identity
+
+	// status, header and body are the answer that is not streamed.
+	status int
+	header http.Header
+	body   []byte
+
+	scratch []byte
+}
+
+func newRelay(r *Request, out Response) *relay { return &relay{r: r, out: out} }
+
+// begin makes an attempt the current one and drops what is held back of earlier ones.
+func (l *relay) begin(number uint32, slot Slot) *sink {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current = number
+	l.continuedAt = l.tokens
+	l.status = 0
+	l.header = nil
+	l.body = l.body[:0]
+	return &sink{relay: l, number: number, slot: slot, sent: time.Now()}
+}
+
+// end makes later events of all attempts stale.
+func (l *relay) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current = 0
+}
+
+// delivered returns what the caller has of a streamed answer.
+func (l *relay) delivered() (tokens int, text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tokens, string(l.text)
+}
+
+// whole says that the caller has all tokens of a streamed answer and the reason for its end.
+func (l *relay) whole() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.started && l.finished
+}
+
+// bounded says that the caller has as many tokens as it allowed. It is called with mu held.
+func (l *relay) bounded() bool { return l.r.MaxTokens > 0 && l.tokens >= l.r.MaxTokens }
+
+// atBound says that no further token may follow.
+func (l *relay) atBound() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bounded()
+}
+
+// sink receives the answer of one attempt.
+type sink struct {
+	relay  *relay
+	number uint32
+	slot   Slot
+	sent   time.Time
+
+	identity   identity
+	firstToken time.Duration
+	reported   time.Time
+}
+
+var _ endpoint.Sink = (*sink)(nil)
+
+// Head implements endpoint.Sink.
+func (s *sink) Head(status int, header http.Header) error {
+	l := s.relay
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.number != l.current {
+		return errStale
+	}
+	l.status = status
+	l.header = header
+	return nil
+}
+
+// Body implements endpoint.Sink.
+func (s *sink) Body(p []byte) error {
+	l := s.relay
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.number != l.current {
+		return errStale
+	}
+	if !l.started {
+		l.body = append(l.body, p...)
+		if len(l.body) <= keepWhole && !isEventStream(l.header) {
+			return nil
+		}
+		if err := l.startWhole(""); err != nil {
+			return err
+		}
+		p = l.body
+	}
+	_, err := l.out.Write(p)
+	return callerGone(err)
+}
+
+// Flush implements endpoint.Sink.
+func (s *sink) Flush() error {
+	l := s.relay
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.started {
+		return nil
+	}
+	return callerGone(l.out.Flush())
+}
+
+// Event implements endpoint.Sink. It relays each token once and in order.
+func (s *sink) Event(e endpoint.Event) error {
+	l := s.relay
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.number != l.current {
+		return errStale
+	}
+	token := e.Kind&endpoint.EventToken != 0
+	switch {
+	case token && e.Index <= l.tokens:
+		return nil
+	case token && e.Index > l.tokens+1:
+		return fmt.Errorf("%w: got %d after %d", errGap, e.Index, l.tokens)
+	case e.Kind == 0 && l.opened:
+		return nil
+	case e.Kind&endpoint.EventFinish != 0 && l.finished:
+		return nil
+	}
+	if err := l.send(s, e); err != nil {
+		return err
+	}
+	if token {
+		l.tokens = e.Index
+		l.text = append(l.text, e.Text...)
+		l.opaque = l.opaque || len(e.Text) == 0
+		s.report(l.tokens)
+	}
+	l.opened = l.opened || e.Kind == 0
+	l.finished = l.finished || e.Kind&endpoint.EventFinish != 0
+	return nil
+}
+
+// report tells the scheduler about progress, at once for the first token.
+func (s *sink) report(tokens int) {
+	now := time.Now()
+	if s.firstToken == 0 {
+		s.firstToken = max(now.Sub(s.sent), 1)
+	} else if now.Sub(s.reported) < progressInterval {
+		return
+	}
+	s.reported = now
+	s.slot.Progress(tokens, s.firstToken)
+}
+
+// send writes one event in the form of server-sent events.
+func (l *relay) send(s *sink, e endpoint.Event) error {
+	if err := l.startStream(); err != nil {
+		return err
+	}
+	data := e.Data
+	if s.identity.empty() {
+		s.identity = identityOf(data)
+	}
+	if l.identity.empty() {
+		l.identity = s.identity
+	}
+	if !l.identity.equal(s.identity) {
+		data = s.identity.replace(data, l.identity)
+		data = l.correctUsage(data, e.Kind)
+	}
+	buf := l.scratch[:0]
+	if e.Index > 0 {
+		buf = append(buf, "id: "...)
+		buf = strconv.AppendInt(buf, int64(e.Index), 10)
+		buf = append(buf, '\n')
+	}
+	buf = append(buf, "data: "...)
+	if bytes.IndexByte(data, '\n') >= 0 {
+		data = bytes.ReplaceAll(data, []byte("\n"), []byte("\ndata: "))
+	}
+	buf = append(buf, data...)
+	buf = append(buf, "\n\n"...)
+	l.scratch = buf
+	_, err := l.out.Write(buf)
+	return callerGone(err)
+}
+
+// startStream sends the header of a streamed answer before its first event. Until then a failure can
+// still be answered with an HTTP status.
+func (l *relay) startStream() error {
+	if l.started {
+		return nil
+	}
+	l.started = true
+	header := http.Header{"Content-Type": {"text/event-stream; charset=utf-8"}, "Cache-Control": {"no-cache"}}
+	return callerGone(l.out.Start(http.StatusOK, header, ""))
+}
+
+// startWhole sends the header of an answer that is not streamed.
+func (l *relay) startWhole(o Outcome) error {
+	l.started = true
+	header := http.Header{}
+	endpoint.CopyHeader(header, l.header)
+	if o != "" && l.r.Method != http.MethodHead {
+		header.Set("Content-Length", strconv.Itoa(len(l.body)))
+	}
+	return callerGone(l.out.Start(l.status, header, o))
+}
+
+// finish ends a whole answer.
+func (l *relay) finish(o Outcome) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current = 0
+	events := l.r.Pool.Kind == config.KindEngine && l.status == http.StatusOK && isEventStream(l.header)
+	if events || l.opened || l.tokens > 0 || l.finished {
+		return l.finishStream()
+	}
+	if !l.started {
+		if err := l.startWhole(o); err != nil {
+			return err
+		}
+		if _, err := l.out.Write(l.body); err != nil {
+			return callerGone(err)
+		}
+	}
+	return callerGone(l.out.Flush())
+}
+
+func (l *relay) finishStream() error {
+	if err := l.startStream(); err != nil {
+		return err
+	}
+	if _, err := l.out.Write([]byte("data: [DONE]\n\n")); err != nil {
+		return callerGone(err)
+	}
+	return callerGone(l.out.Flush())
+}
+
+func isEventStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
+
+// callerGone marks an error of the caller's connection.
+func callerGone(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", errCallerGone, err)
+}
--- /dev/null
+++ b/internal/dispatch/resume_test.go
@@ -0,0 +1,116 @@
+package dispatch_test
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chivewind/chivewind/internal/dispatch"
+	"github.com/chivewind/chivewind/internal/retry"
+	enginestandin "github.com/chivewind/chivewind/internal/standin/engine"
+	"github.com/chivewind/chivewind/peer"
+	"pgregory.net/rapid"
+)
+
+// checkStream compares a stream with the whole answer: each token once, in order, one identity.
+func checkStream(t rapid.TB, s streamed, want string) {
+	t.Helper()
+	if s.text != want || !s.done || s.error != "" || s.finish == "" {
+		t.Fatalf("got %+v, want text %q and [DONE]", s, want)
+	}
+	for i, id := range s.ids {
+		if id != strconv.Itoa(i+1) {
+			t.Fatalf("token %d has id %s", i+1, id)
+		}
+	}
+	if len(s.chunkIDs) != 1 {
+		t.Fatalf("chunks have ids %v, want one", s.chunkIDs)
+	}
+}
+
+// Guards against lost, repeated or reordered tokens when engines crash in mid-stream, whatever the
+// token, and against an answer that ends before it is whole.
+func TestResumeAtRandomTokens(t *testing.T) {
+	p := newPath(t, setup{retry: retry.Options{Reserve: 1000}})
+	n := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		n++
+		length := rapid.IntRange(1, 60).Draw(rt, "length")
+		first := rapid.SampledFrom([]enginestandin.Faults{
+			{CutAfter: rapid.IntRange(1, 60).Draw(rt, "crash after")}, {CutEnd: true}, {CutDone: true}, {CutFirst: true},
+		}).Draw(rt, "first fault")
+		second := rapid.SampledFrom([]enginestandin.Faults{{}, {Refuse: true}, {Status: 500}}).Draw(rt, "second fault")
+		usage := rapid.Bool().Draw(rt, "usage")
+		p.engines[0].SetFaults(first)
+		p.engines[2].SetFaults(second)
+		content := "crash " + strconv.Itoa(n) + " length=" + strconv.Itoa(length)
+		extra := `,"max_tokens":` + strconv.Itoa(length)
+		if usage {
+			extra = `,"stream_options":{"include_usage":true}`
+		}
+		r, body := p.post(t, "/v1/chat/completions", "", chat(content, true, extra))
+		s := parseStream(t, body)
+		checkStream(rt, s, enginestandin.Answer(enginestandin.ChatPrompt(content), 0))
+		if outcome(r) != "completed" {
+			rt.Fatalf("outcome %q", outcome(r))
+		}
+		if usage && !first.CutDone && !strings.Contains(s.usage, `"completion_tokens":`+strconv.Itoa(length)) {
+			rt.Fatalf("usage %s, want %d completion tokens", s.usage, length)
+		}
+	})
+	for _, e := range p.engines {
+		if e.Mismatches() != 0 {
+			t.Errorf("an engine got a partial answer that was not its own")
+		}
+	}
+}
+
+// Guards against a preempted stream that loses or repeats tokens, and against a second preemption.
+func TestPreemptedStreamContinues(t *testing.T) {
+	p := newPath(t, setup{engine: enginestandin.Options{TokenTime: 2 * time.Millisecond}})
+	p.scheduler.preempt = true
+	r, body := p.post(t, "/v1/chat/completions", "", chat("preempt length=100", true, ""))
+	checkStream(t, parseStream(t, body), enginestandin.Answer(enginestandin.ChatPrompt("preempt length=100"), 0))
+	if outcome(r) != "completed" {
+		t.Errorf("outcome %q", outcome(r))
+	}
+	if o := p.scheduler.outcomes(); !slices.Equal(o, []peer.Outcome{peer.Outcome_OUTCOME_PREEMPTED, peer.Outcome_OUTCOME_COMPLETED}) {
+		t.Errorf("slots ended with %v", o)
+	}
+	if last := p.scheduler.acquires[len(p.scheduler.acquires)-1]; !last.Preempted || len(last.Avoid) > 0 {
+		t.Errorf("second Acquire: %v", last)
+	}
+}
+
+// Guards against a request that crashes every engine it is sent to: it must be stopped after two
+// crashes, announced before the failure is returned, and refused afterwards, also when it comes
+// through another daemon.
+func TestPoisonIsStopped(t *testing.T) {
+	p := newPath(t, setup{})
+	for _, e := range p.engines {
+		e.SetFaults(enginestandin.Faults{Marker: "poison", DownMS: 30})
+	}
+	r, body := p.post(t, "/v1/chat/completions", "", chat("poison", true, ""))
+	if r.StatusCode != http.StatusUnprocessableEntity || outcome(r) != "failed" || !strings.Contains(body, dispatch.CodeRepeatedCrash) {
+		t.Errorf("status %d, outcome %q, body %s", r.StatusCode, outcome(r), body)
+	}
+	announced := p.announcer.list()
+	if len(announced) != 2 || announced[0].Fingerprint != announced[1].Fingerprint || announced[0].Endpoint == announced[1].Endpoint {
+		t.Errorf("announced %v", announced)
+	}
+	runs := 0
+	for _, e := range p.engines {
+		runs += e.RunsByPrompt(enginestandin.ChatPrompt("poison")).Started
+	}
+	if runs != 2 {
+		t.Errorf("ran %d times, want 2", runs)
+	}
+	other := newPath(t, setup{})
+	other.dispatch.HandleSuspects(announced)
+	if r, _ := other.post(t, "/v1/chat/completions", "", chat("poison", true, "")); r.StatusCode != http.StatusUnprocessableEntity {
+		t.Errorf("another daemon answered with status %d", r.StatusCode)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/run.go
@@ -0,0 +1,306 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/endpoint"
+	"github.com/chivewind/chivewind/internal/poison"
+	"github.com/chivewind/chivewind/internal/retry"
+	"github.com/chivewind/chivewind/peer"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request, whatever the budget allows.
+	maxAttempts = 8
+	// maxLateGrants bounds the grants that expire before the attempt starts.
+	maxLateGrants = 4
+)
+
+// errPreempted is the cause of an attempt's end when the scheduler took its slot back.
+var errPreempted = errors.New("the scheduler took the slot back")
+
+// run is one request in progress. It is used by one goroutine.
+type run struct {
+	d           *Dispatcher
+	r           *Request
+	relay       *relay
+	fingerprint poison.Fingerprint
+	// announced waits for announcements of suspects that are under way.
+	announced sync.WaitGroup
+	// prepare is called once a slot is held, before each attempt; the attempt is made when it
+	// returns true. The context that it returns is the attempt's.
+	prepare func(context.Context) (context.Context, *verdict)
+
+	number     uint32
+	lateGrants int
+	avoid      []string
+	avoidZone  string
+	// started says that an endpoint may have run the request.
+	started   bool
+	suspect   bool
+	preempted bool
+}
+
+// verdict is the end of a request before its caller is told.
+type verdict struct {
+	complete bool
+	// status is the HTTP status of a complete answer.
+	status int
+	err    *Error
+}
+
+func (r *run) attemptName() string {
+	return r.r.AttemptID + "/" + strconv.FormatUint(uint64(r.number), 10)
+}
+
+// loop runs an idempotent request to its end.
+func (r *run) loop(ctx context.Context) Result {
+	res := r.deliver(r.attempts(ctx))
+	r.announced.Wait()
+	return res
+}
+
+// deliver completes the caller's answer and names the outcome.
+func (r *run) deliver(v verdict) Result {
+	if !v.complete {
+		return Result{Outcome: r.failure(), Err: v.err}
+	}
+	outcome := Completed
+	if v.status >= http.StatusInternalServerError {
+		outcome = Failed
+	}
+	if err := r.relay.finish(outcome); err != nil {
+		return Result{Outcome: Failed, Err: gone()}
+	}
+	return Result{Outcome: outcome}
+}
+
+// failure is the outcome of an idempotent request without an answer.
+func (r *run) failure() Outcome {
+	if r.started {
+		return Failed
+	}
+	return NotRun
+}
+
+// attempts makes attempts until the request has an answer or must end without one.
+func (r *run) attempts(ctx context.Context) verdict {
+	defer r.relay.end()
+	for {
+		r.number++
+		slot, err := r.acquire(ctx)
+		if err != nil {
+			return r.notGranted(ctx, err)
+		}
+		e, usable := r.usable(slot)
+		if !usable {
+			continue
+		}
+		sendCtx := ctx
+		if r.prepare != nil {
+			var v *verdict
+			if sendCtx, v = r.prepare(ctx); v != nil {
+				slot.Finish(peer.Outcome_OUTCOME_NOT_SENT, 0, 0, 0)
+				return *v
+			}
+		}
+		if time.Now().After(slot.StartBy()) {
+			slot.Finish(peer.Outcome_OUTCOME_NOT_SENT, 0, 0, 0)
+			if r.lateGrants++; r.lateGrants > maxLateGrants {
+				return verdict{err: overloaded("no endpoint could be reached in time", time.Second)}
+			}
+			continue
+		}
+		res := r.attempt(sendCtx, e, slot)
+		if v := r.judge(sendCtx, e, res); v != nil {
+			return *v
+		}
+	}
+}
+
+// usable returns the granted endpoint. An endpoint that is unknown here or cannot continue the answer
+// is given back and avoided.
+func (r *run) usable(slot Slot) (config.Endpoint, bool) {
+	e, ok := r.d.o.Snapshot().Endpoints[slot.Endpoint()]
+	tokens, _ := r.relay.delivered()
+	if ok && (tokens == 0 || e.Has(config.CapResume)) {
+		return e, true
+	}
+	slot.Finish(peer.Outcome_OUTCOME_NOT_SENT, 0, 0, 0)
+	r.avoid = append(r.avoid, slot.Endpoint())
+	return e, false
+}
+
+// acquire asks the scheduler for a slot.
+func (r *run) acquire(ctx context.Context) (Slot, error) {
+	if r.exhausted() {
+		return nil, &ShedError{Reason: "no further endpoint can run the request", RetryAfter: time.Second}
+	}
+	tokens, _ := r.relay.delivered()
+	a := &peer.Acquire{
+		Attempt: &peer.Attempt{RequestId: r.r.AttemptID, Number: r.number},
+		Class:   r.r.Class.Name, Workspace: r.r.Workspace,
+		Model: r.r.Pool.Model, Adapter: r.r.Adapter, Zone: r.d.o.Zone,
+		PromptTokens: uint32(r.r.PromptTokens), MaxTokens: uint32(r.r.MaxTokens), ResumedTokens: uint32(tokens),
+		WaitedUs: uint64(time.Since(r.r.Arrival).Microseconds()),
+		Blocks:   r.r.Blocks, Avoid: r.avoid, AvoidZone: r.avoidZone,
+		Suspect: r.suspect, Preempted: r.preempted,
+	}
+	if !r.r.Deadline.IsZero() {
+		a.RemainingUs = uint64(max(time.Until(r.r.Deadline).Microseconds(), 1))
+	}
+	return r.d.o.Scheduler.Acquire(ctx, r.r.Pool.Name, a)
+}
+
+// exhausted says that no endpoint of the pool is left: each has failed, or cannot continue the answer.
+func (r *run) exhausted() bool {
+	if len(r.avoid) == 0 {
+		return false
+	}
+	tokens, _ := r.relay.delivered()
+	s := r.d.o.Snapshot()
+	for _, shard := range s.PoolShards[r.r.Pool.Name] {
+		for _, id := range shard.Endpoints {
+			if !slices.Contains(r.avoid, id) && (tokens == 0 || s.Endpoints[id].Has(config.CapResume)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// attempt sends the request to an endpoint once and returns the slot.
+func (r *run) attempt(ctx context.Context, e config.Endpoint, slot Slot) endpoint.Result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	s := r.relay.begin(r.number, slot)
+	if r.mayPreempt() {
+		go func() {
+			select {
+			case <-slot.Preempted():
+				cancel(errPreempted)
+			case <-ctx.Done():
+			}
+		}()
+	}
+	tokens, text := r.relay.delivered()
+	a := &endpoint.Attempt{
+		Request: &r.r.Request, Endpoint: e, Number: r.number, Tier: r.r.Class.Tier,
+		Tokens: tokens, Text: text,
+		FirstToken: firstTokenLimit(r.r), BetweenTokens: r.d.o.InterToken,
+	}
+	begun := time.Now()
+	res := r.d.o.Kinds[r.r.Pool.Kind].Do(ctx, a, s)
+	outcome := res.Outcome()
+	if errors.Is(res.Err, errPreempted) {
+		outcome = peer.Outcome_OUTCOME_PREEMPTED
+	}
+	if errors.Is(res.Err, errGap) {
+		outcome = peer.Outcome_OUTCOME_FAILED
+	}
+	tokens, _ = r.relay.delivered()
+	slot.Finish(outcome, tokens, res.FirstTokenAfter, time.Since(begun))
+	return res
+}
+
+// mayPreempt says whether a canceled attempt can be made up for. What the caller has of a streamed
+// answer must be continuable, and a non-idempotent request must not be repeated.
+func (r *run) mayPreempt() bool { return !r.r.NonIdempotent && (r.r.Continuable || !r.r.Stream) }
+
+// judge decides what follows an attempt. It returns nil when another attempt follows.
+func (r *run) judge(ctx context.Context, e config.Endpoint, res endpoint.Result) *verdict {
+	r.started = r.started || res.Started()
+	if res.Crashed {
+		r.crashed(e.ID)
+	}
+	switch {
+	case res.Complete && !r.retryStatus(res.Status):
+		r.cleared()
+		return &verdict{complete: true, status: res.Status}
+	case r.relay.whole():
+		return &verdict{complete: true, status: http.StatusOK}
+	case ctx.Err() != nil || errors.Is(res.Err, errCallerGone):
+		return r.canceled(ctx)
+	case errors.Is(res.Err, errPreempted):
+		r.d.counters.preemptions.Inc(1)
+		r.preempted = true
+		return r.continuable(res)
+	}
+	r.d.o.Log.Debug("attempt failed", "request", r.attemptName(), "endpoint", e.ID, "error", res.Err)
+	r.avoid = append(r.avoid, e.ID)
+	r.avoidZone = r.otherZone(e.Zone)
+	return r.retry(res)
+}
+
+// retryStatus says whether a complete answer of an engine is a failure of the engine. Answers of
+// plain services are passed as they are.
+func (r *run) retryStatus(status int) bool {
+	return r.r.Pool.Kind == config.KindEngine &&
+		(status >= http.StatusInternalServerError || status == http.StatusTooManyRequests)
+}
+
+// retry decides whether another attempt follows a failed one.
+func (r *run) retry(res endpoint.Result) *verdict {
+	now := time.Now()
+	switch {
+	case r.relay.atBound():
+		return r.continuable(res)
+	case r.d.suspects.crashes(r.fingerprint) >= poison.Limit:
+		r.d.counters.stopped.Inc(1)
+		return &verdict{err: repeatedCrash()}
+	case !retry.Safe(retry.Failure{NonIdempotent: r.r.NonIdempotent, Started: res.Started()}):
+		return r.giveUp(res)
+	case r.number >= maxAttempts, r.exhausted(), !retry.Useful(now, r.r.Deadline, res.FirstTokenAfter):
+		return r.giveUp(res)
+	}
+	if v := r.continuable(res); v != nil {
+		return v
+	}
+	if !r.d.takeRetry(r.r.Class.Name) {
+		return r.giveUp(res)
+	}
+	r.d.counters.retries.Inc(1)
+	return nil
+}
+
+// continuable returns nil when the answer can be repeated or continued by another attempt.
+func (r *run) continuable(res endpoint.Result) *verdict {
+	l := r.relay
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case !l.started:
+		return nil
+	case l.tokens == 0 && r.r.Stream:
+		return nil
+	case l.tokens == 0, l.opaque, !r.r.Continuable:
+		return r.giveUp(res)
+	case l.bounded():
+		if err := l.finishAtBound(); err != nil {
+			return &verdict{err: gone()}
+		}
+		return &verdict{complete: true, status: http.StatusOK}
+	}
+	r.d.counters.resumes.Inc(1)
+	return nil
+}
+
+// otherZone returns the failed endpoint's availability zone when the pool has endpoints elsewhere.
+func (r *run) otherZone(zone string) string {
+	s := r.d.o.Snapshot()
+	for _, shard := range s.PoolShards[r.r.Pool.Name] {
+		for _, id := range shard.Endpoints {
+			if s.Endpoints[id].Zone != zone && !slices.Contains(r.avoid, id) {
+				return zone
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/standin/engine/admin.go
@@ -0,0 +1,90 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// report is the load at a time in the past.
+type report struct {
+	at               time.Time
+	running, waiting int
+	betweenTokens    time.Duration
+}
+
+// loadJSON is the JSON form of GET /load.
+type loadJSON struct {
+	TimeUnixMS      int64    `json:"time_unix_ms"`
+	Running         int      `json:"running"`
+	Waiting         int      `json:"waiting"`
+	BetweenTokensUS int64    `json:"between_tokens_us"`
+	CacheSequence   uint64   `json:"cache_sequence"`
+	CacheAdded      []string `json:"cache_added,omitempty"`
+	CacheRemoved    []string `json:"cache_removed,omitempty"`
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	running, waiting := e.batch.load()
+	_, slowdown := e.current()
+	now := report{at: time.Now(), running: running, waiting: waiting,
+		betweenTokens: time.Duration(float64(e.batch.tokenTime()) * slowdown)}
+	e.mu.Lock()
+	if now.at.Sub(e.lastReport.at) >= e.o.ReportLag {
+		e.lastReport = now
+	}
+	rep := e.lastReport
+	e.mu.Unlock()
+	body := loadJSON{
+		TimeUnixMS: rep.at.UnixMilli(), Running: rep.running, Waiting: rep.waiting,
+		BetweenTokensUS: rep.betweenTokens.Microseconds(),
+	}
+	body.CacheSequence, body.CacheAdded, body.CacheRemoved = e.cache.after(after)
+	writeJSON(w, body)
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// serveCrash crashes the engine for the time in the query parameter down, for example 2s.
+func (e *Engine) serveCrash(w http.ResponseWriter, r *http.Request) {
+	down, err := time.ParseDuration(r.URL.Query().Get("down"))
+	if err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.Crash(down)
+}
+
+// runsJSON is the JSON form of GET /admin/runs.
+type runsJSON struct {
+	ByID       map[string]Run `json:"by_id"`
+	ByPrompt   map[string]Run `json:"by_prompt"`
+	Mismatches int            `json:"mismatches"`
+}
+
+func (e *Engine) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	raw, err := json.Marshal(runsJSON{ByID: e.byID, ByPrompt: e.byPrompt, Mismatches: e.mismatches})
+	e.mu.Unlock()
+	if err != nil {
+		fail(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(raw)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/engine/output.go
@@ -0,0 +1,151 @@
+package engine
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/chivewind/chivewind/internal/standin/crashserver"
+)
+
+// created is the time stamp of all answers; a constant keeps answers deterministic.
+const created = 1700000000
+
+// stream sends the answer as server-sent events. It returns true when the answer was sent whole.
+func (c *call) stream(tokens *int) bool {
+	c.w.Header().Set("Content-Type", "text/event-stream")
+	c.w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(c.w)
+	if c.chat {
+		c.event(0, `{"role":"assistant","content":""}`, `""`, "null")
+	}
+	for i := c.resumed + 1; i <= c.length; i++ {
+		if i > c.resumed+1 && !c.sleep(c.e.batch.tokenTime()) {
+			return false
+		}
+		t := token(c.hash, i)
+		c.event(i, `{"content":"`+t+`"}`, `"`+t+`"`, "null")
+		*tokens++
+		if c.e.o.TokenTime > 0 || i == c.length {
+			if flush.Flush() != nil {
+				return false
+			}
+		}
+		if !c.continues(*tokens, flush) {
+			return false
+		}
+	}
+	if c.faults.CutEnd {
+		_ = flush.Flush()
+		crashserver.Abort(c.w)
+		return false
+	}
+	c.event(0, `{}`, `""`, `"`+c.finishReason()+`"`)
+	if c.body.StreamOptions.IncludeUsage {
+		fmt.Fprintf(c.w, "data: {%s,\"choices\":[],%s}\n\n", c.head("chat.completion.chunk"), c.usage())
+	}
+	if c.faults.CutDone {
+		_ = flush.Flush()
+		crashserver.Abort(c.w)
+		return false
+	}
+	_, err := c.w.Write([]byte("data: [DONE]\n\n"))
+	return err == nil && flush.Flush() == nil
+}
+
+// continues applies the faults in mid-stream.
+func (c *call) continues(tokens int, flush *http.ResponseController) bool {
+	switch f := c.faults; {
+	case f.CutAfter > 0 && tokens >= f.CutAfter:
+		_ = flush.Flush()
+		crashserver.Abort(c.w)
+		return false
+	case f.SilentAfter > 0 && tokens >= f.SilentAfter:
+		_ = flush.Flush()
+		<-c.r.Context().Done()
+		return false
+	}
+	return true
+}
+
+// event sends one chunk. A token's number is its SSE id.
+func (c *call) event(id int, delta, text, reason string) {
+	b := c.buf[:0]
+	if id > 0 {
+		b = append(b, "id: "...)
+		b = strconv.AppendInt(b, int64(id), 10)
+		b = append(b, '\n')
+	}
+	b = append(b, "data: {"...)
+	if c.chat {
+		b = append(b, c.head("chat.completion.chunk")...)
+		b = append(b, `,"choices":[{"index":0,"delta":`...)
+		b = append(b, delta...)
+	} else {
+		b = append(b, c.head("text_completion")...)
+		b = append(b, `,"choices":[{"index":0,"text":`...)
+		b = append(b, text...)
+	}
+	b = append(b, `,"finish_reason":`...)
+	b = append(b, reason...)
+	b = append(b, "}]}\n\n"...)
+	c.buf = b
+	_, _ = c.w.Write(b)
+}
+
+// head returns the fields that all chunks of an answer share. Engines number answers on their own, so
+// that the id differs between engines.
+func (c *call) head(object string) string {
+	if !c.chat {
+		object = "text_completion"
+	}
+	return `"id":"` + c.e.server.Address() + "-" + strconv.FormatUint(c.hash, 16) +
+		`","object":"` + object + `","created":` + strconv.Itoa(created) + `,"model":"` + c.e.o.Model + `"`
+}
+
+func (c *call) finishReason() string {
+	if c.length < Length(c.prompt, 0) {
+		return "length"
+	}
+	return "stop"
+}
+
+func (c *call) usage() string {
+	completion := c.length - c.resumed
+	return fmt.Sprintf(`"usage":{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}`,
+		c.promptTokens(), completion, c.promptTokens()+completion)
+}
+
+// whole sends the answer as one JSON object.
+func (c *call) whole(tokens *int) bool {
+	var text strings.Builder
+	for i := 1; i <= c.length; i++ {
+		if !c.sleep(c.e.batch.tokenTime()) {
+			return false
+		}
+		text.WriteString(token(c.hash, i))
+		*tokens++
+		if !c.continues(*tokens, http.NewResponseController(c.w)) {
+			return false
+		}
+	}
+	if c.faults.CutEnd {
+		crashserver.Abort(c.w)
+		return false
+	}
+	choice := `"text":"` + text.String() + `"`
+	if c.chat {
+		choice = `"message":{"role":"assistant","content":"` + text.String() + `"}`
+	}
+	answer := fmt.Sprintf(`{%s,"choices":[{"index":0,%s,"finish_reason":"%s"}],%s}`,
+		c.head("chat.completion"), choice, c.finishReason(), c.usage())
+	c.w.Header().Set("Content-Type", "application/json")
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if c.faults.Truncate {
+		_, _ = c.w.Write([]byte(answer[:len(answer)/2]))
+		panic(http.ErrAbortHandler)
+	}
+	_, err := c.w.Write([]byte(answer))
+	return err == nil
+}
--- /dev/null
+++ b/internal/standin/engine/serve.go
@@ -0,0 +1,182 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivewind/chivewind/endpoint"
+	"github.com/chivewind/chivewind/internal/standin/crashserver"
+)
+
+const (
+	maxBody     = 8 << 20
+	defaultDown = time.Second
+	// bytesPerToken is the usual length of a token of text, for counting prompts.
+	bytesPerToken = 4
+)
+
+// call is one request to the engine.
+type call struct {
+	e       *Engine
+	w       http.ResponseWriter
+	r       *http.Request
+	body    body
+	chat    bool
+	id      string
+	prompt  string
+	hash    uint64
+	resumed int
+	// length is the number of tokens of the whole answer.
+	length int
+	faults Faults
+	buf    []byte
+}
+
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request, chat bool) {
+	c := &call{e: e, w: w, r: r, chat: chat, id: r.Header.Get(endpoint.HeaderRequestID), faults: e.requestFaults()}
+	if !c.accept() {
+		return
+	}
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil || json.Unmarshal(raw, &c.body) != nil {
+		fail(w, http.StatusBadRequest, "malformed body")
+		return
+	}
+	if !c.parse() {
+		return
+	}
+	if f := c.faults; f.Marker != "" && strings.Contains(c.prompt, f.Marker) {
+		e.count(c, func(r *Run) { r.Started++ })
+		down := time.Duration(f.DownMS) * time.Millisecond
+		if down == 0 {
+			down = defaultDown
+		}
+		e.Crash(down)
+		return
+	}
+	if err := e.batch.join(r.Context(), c.body.Priority); err != nil {
+		return
+	}
+	defer e.batch.leave()
+	c.run()
+}
+
+// accept applies the faults that precede the run.
+func (c *call) accept() bool {
+	switch f := c.faults; {
+	case f.Refuse:
+		c.w.Header().Set(endpoint.HeaderNotRun, "true")
+		c.w.Header().Set("Retry-After", "1")
+		fail(c.w, http.StatusServiceUnavailable, "not run")
+		return false
+	case f.Status > 0:
+		fail(c.w, f.Status, "fault switch")
+		return false
+	case f.CutFirst:
+		crashserver.Abort(c.w)
+		return false
+	}
+	return true
+}
+
+// parse finds the prompt and checks that a partial answer is the engine's own.
+func (c *call) parse() bool {
+	var partial string
+	c.resumed, _ = strconv.Atoi(c.r.Header.Get("Last-Event-ID"))
+	c.prompt, partial = c.body.prompt(c.chat, c.resumed)
+	c.hash = xxhash.Sum64String(c.prompt)
+	limit := c.body.limit()
+	if limit > 0 {
+		limit += c.resumed
+	}
+	c.length = Length(c.prompt, limit)
+	var want strings.Builder
+	for i := 1; i <= c.resumed; i++ {
+		want.WriteString(token(c.hash, i))
+	}
+	if partial != want.String() {
+		c.e.mu.Lock()
+		c.e.mismatches++
+		c.e.mu.Unlock()
+		fail(c.w, http.StatusBadRequest, "the partial answer is not the beginning of the answer")
+		return false
+	}
+	return true
+}
+
+func (c *call) run() {
+	c.e.count(c, func(r *Run) {
+		r.Started++
+		if c.resumed > 0 {
+			r.Resumed++
+		}
+	})
+	done := false
+	tokens := 0
+	defer func() {
+		c.e.count(c, func(r *Run) {
+			r.Tokens += tokens
+			if done {
+				r.Completed++
+			} else if c.r.Context().Err() != nil {
+				r.Canceled++
+			}
+		})
+	}()
+	blocks := endpoint.Blocks(c.prompt)
+	missing := len(blocks) - c.e.cache.use(blocks)
+	prefill := c.e.o.Prefill + time.Duration(missing)*c.e.o.PrefillPerBlock
+	prefill += time.Duration(c.faults.HeaderDelayMS) * time.Millisecond
+	if !c.sleep(prefill) {
+		return
+	}
+	if c.body.Stream {
+		done = c.stream(&tokens)
+		return
+	}
+	done = c.whole(&tokens)
+}
+
+// sleep waits for a duration, or for ever while the engine is silent.
+func (c *call) sleep(d time.Duration) bool {
+	silent, slowdown := c.e.current()
+	if silent || c.faults.Silent {
+		<-c.r.Context().Done()
+		return false
+	}
+	if d <= 0 {
+		return c.r.Context().Err() == nil
+	}
+	t := time.NewTimer(time.Duration(float64(d) * slowdown))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-c.r.Context().Done():
+		return false
+	}
+}
+
+func (c *call) promptTokens() int { return (len(c.prompt)+c.resumed*TokenBytes)/bytesPerToken + 1 }
+
+// errorBody is the OpenAI form of an error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+}
+
+func fail(w http.ResponseWriter, status int, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(errorBody{Error: errorDetail{Message: message, Type: "standin"}})
+}
--- /dev/null
+++ b/modules/front/plain.go
@@ -0,0 +1,58 @@
+package front
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/endpoint"
+	"github.com/chivewind/chivewind/internal/dispatch"
+)
+
+// servePlain runs a call of a plain service.
+func (f *Front) servePlain(w http.ResponseWriter, r *http.Request) {
+	arrival := time.Now()
+	id := requestID(r)
+	w.Header().Set(HeaderRequestID, id)
+	req, e := f.plainRequest(w, r)
+	if e != nil {
+		writeError(w, e, dispatch.NotRun)
+		return
+	}
+	req.ID = id
+	req.Arrival = arrival
+	f.run(w, r, req)
+}
+
+func (f *Front) plainRequest(w http.ResponseWriter, r *http.Request) (*dispatch.Request, *dispatch.Error) {
+	s, workspace, e := f.admit(r)
+	if e != nil {
+		return nil, e
+	}
+	route, ok := s.RouteFor(r.URL.Path)
+	pool := s.Pools[route.Pool]
+	if !ok || pool.Kind != config.KindPlain {
+		return nil, refusal(http.StatusNotFound, codeNotFound, "no route for %s %s", r.Method, r.URL.Path)
+	}
+	class, e := classFor(s, workspace, r, route.Class)
+	if e != nil {
+		return nil, e
+	}
+	body, e := f.readBody(w, r)
+	if e != nil {
+		return nil, e
+	}
+	req := &dispatch.Request{
+		Request: endpoint.Request{
+			Workspace: workspace.Name, Method: r.Method, Path: r.URL.EscapedPath(), RawQuery: r.URL.RawQuery,
+			Header: r.Header, Body: body,
+		},
+		Class: class, Pool: pool, Route: route.Path,
+	}
+	setKey(req, r)
+	if slices.Contains(route.NonIdempotent, r.Method) && req.IdempotencyKey == "" {
+		return nil, refusal(http.StatusBadRequest, codeInvalidRequest, "%s %s runs at most once; send an %s", r.Method, route.Path, HeaderIdempotency)
+	}
+	return req, nil
+}
