--- a/adminapi/adminapi.go
+++ b/adminapi/adminapi.go
@@ -85,7 +85,9 @@
 	AttemptID string    `json:"attempt_id"`
 	From      string    `json:"from,omitempty"`
 	To        string    `json:"to,omitempty"`
-	Message   string    `json:"message,omitempty"`
+	// Changes lists the changed items.
+	Changes []string `json:"changes,omitempty"`
+	Message string   `json:"message,omitempty"`
 }
 
 // Audit is the answer to GET /admin/v1/audit, the newest entry first.
--- a/cli/stubs.go
+++ b/cli/stubs.go
@@ -2,7 +2,5 @@
 
 import "github.com/alecthomas/kingpin/v2"
 
-func (a *app) addServe(k *kingpin.Application)   {}
-func (a *app) addBench(k *kingpin.Application)   {}
-func (a *app) addDemo(k *kingpin.Application)    {}
-func (a *app) addStandin(k *kingpin.Application) {}
+func (a *app) addBench(k *kingpin.Application) {}
+func (a *app) addDemo(k *kingpin.Application)  {}
--- a/internal/cluster/clustertest/members.go
+++ b/internal/cluster/clustertest/view.go
@@ -8,8 +8,8 @@
 	"github.com/chivewind/chivewind/peer"
 )
 
-// Members is a fake view that tests set.
-type Members struct {
+// View is a fake view that tests set.
+type View struct {
 	self *peer.Member
 
 	mu          sync.Mutex
@@ -18,15 +18,15 @@
 	subscribers []func()
 }
 
-var _ cluster.Members = (*Members)(nil)
+var _ cluster.Members = (*View)(nil)
 
-// NewMembers returns a view of a daemon. live must be sorted by id.
-func NewMembers(self *peer.Member, live ...*peer.Member) *Members {
-	return &Members{self: self, live: live}
+// NewView returns a view of a daemon. live must be sorted by id.
+func NewView(self *peer.Member, live ...*peer.Member) *View {
+	return &View{self: self, live: live}
 }
 
 // Set replaces the live members, which must be sorted by id.
-func (m *Members) Set(live ...*peer.Member) {
+func (m *View) Set(live ...*peer.Member) {
 	m.mu.Lock()
 	m.live = live
 	m.mu.Unlock()
@@ -34,14 +34,14 @@
 }
 
 // SetTrusted sets the answer of Trusted.
-func (m *Members) SetTrusted(trusted bool) {
+func (m *View) SetTrusted(trusted bool) {
 	m.mu.Lock()
 	m.untrusted = !trusted
 	m.mu.Unlock()
 	m.notify()
 }
 
-func (m *Members) notify() {
+func (m *View) notify() {
 	m.mu.Lock()
 	subscribers := m.subscribers
 	m.mu.Unlock()
@@ -51,20 +51,20 @@
 }
 
 // Self implements cluster.Members.
-func (m *Members) Self() *peer.Member { return m.self }
+func (m *View) Self() *peer.Member { return m.self }
 
 // Live implements cluster.Members.
-func (m *Members) Live() []*peer.Member {
+func (m *View) Live() []*peer.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.live
 }
 
 // All implements cluster.Members.
-func (m *Members) All() []*peer.Member { return m.Live() }
+func (m *View) All() []*peer.Member { return m.Live() }
 
 // Owners implements cluster.Members.
-func (m *Members) Owners(key string, n int) []*peer.Member {
+func (m *View) Owners(key string, n int) []*peer.Member {
 	live := m.Live()
 	ids := make([]string, len(live))
 	for i, l := range live {
@@ -78,14 +78,14 @@
 }
 
 // Subscribe implements cluster.Members.
-func (m *Members) Subscribe(f func()) {
+func (m *View) Subscribe(f func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.subscribers = append(m.subscribers[:len(m.subscribers):len(m.subscribers)], f)
 }
 
 // Trusted implements cluster.Members.
-func (m *Members) Trusted() bool {
+func (m *View) Trusted() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return !m.untrusted
--- /dev/null
+++ b/internal/node/operate.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"context"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/samber/oops"
+
+	"github.com/chivewind/chivewind/adminapi"
+	"github.com/chivewind/chivewind/internal/ledger"
+	"github.com/chivewind/chivewind/peer"
+)
+
+// Settle records an operator's decision on a non-idempotent request with the outcome unknown. The
+// record keeps the operator's name.
+func (n *Node) Settle(ctx context.Context, operator string, req adminapi.SettleRequest) error {
+	state := peer.LedgerRecord_STATE_NOT_RUN
+	if req.Ran {
+		state = peer.LedgerRecord_STATE_DONE
+	}
+	key := ledger.Key(req.Workspace, req.Route, req.IdempotencyKey)
+	reply, err := n.ledger.Do(ctx, &peer.LedgerRequest{
+		Action: peer.LedgerRequest_ACTION_SETTLE, Partition: ledger.PartitionOf(key), Key: key, MemberId: n.settings.ID,
+		Record: &peer.LedgerRecord{State: state, SettledBy: operator, FinishedUnixMs: time.Now().UnixMilli()},
+	})
+	if err != nil {
+		return oops.With("step", "settle").Wrap(err)
+	}
+	if reply.Result != peer.LedgerReply_RESULT_DONE {
+		return oops.With("step", "settle").Errorf("the record was not changed: %s", reply.Result)
+	}
+	n.log.Info("request settled", "operator", operator, "workspace", req.Workspace, "route", req.Route, "ran", req.Ran)
+	return nil
+}
+
+// sampleInterval is the time between samples of the process's own cost.
+const sampleInterval = 5 * time.Second
+
+// sampleProcess keeps gauges of the process's memory and processor time.
+func (n *Node) sampleProcess(ctx context.Context) error {
+	heap := metrics.GetOrRegisterGauge("chivewind_process_heap_bytes", n.metrics)
+	goroutines := metrics.GetOrRegisterGauge("chivewind_process_goroutines", n.metrics)
+	cpu := metrics.GetOrRegisterGaugeFloat64("chivewind_process_cpu_seconds", n.metrics)
+	requests := metrics.GetOrRegisterGauge("chivewind_requests_in_progress", n.metrics)
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	for {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		heap.Update(int64(m.HeapAlloc))
+		goroutines.Update(int64(runtime.NumGoroutine()))
+		requests.Update(int64(n.front.InFlight()))
+		var u syscall.Rusage
+		if syscall.Getrusage(syscall.RUSAGE_SELF, &u) == nil {
+			cpu.Update(time.Duration(u.Utime.Nano() + u.Stime.Nano()).Seconds())
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/promtext/promtext.go
+++ b/internal/promtext/promtext.go
@@ -58,6 +58,7 @@
 	for _, name := range names {
 		base, labels := split(name)
 		kind := kindOf(all[name])
+		base = canonical(base, kind)
 		if base != family && kind != "" {
 			fmt.Fprintf(out, "# TYPE %s %s\n", base, kind)
 			family = base
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -148,7 +148,7 @@
 // daemon is one daemon's scheduler and client over the in-memory network.
 type daemon struct {
 	member    *peer.Member
-	members   *clustertest.Members
+	members   *clustertest.View
 	scheduler *Scheduler
 	client    *Client
 	pool      *peerconn.Pool
@@ -183,7 +183,7 @@
 
 func (f *fleet) startDaemon(t *testing.T, m *peer.Member, all []*peer.Member, snapshot *config.Snapshot) *daemon {
 	t.Helper()
-	d := &daemon{member: m, members: clustertest.NewMembers(m, all...)}
+	d := &daemon{member: m, members: clustertest.NewView(m, all...)}
 	d.pool = peerconn.NewPool(peerconn.Config{Dial: f.network.Dialer(m.PeerAddress)})
 	d.scheduler = New(Config{Members: d.members, Poll: f.poll, NewPolicy: func() policy.Policy {
 		return &fifo{log: f.log, running: map[policy.AttemptID]string{}, maxQueue: f.maxQueue}
--- /dev/null
+++ b/modules/admin/changes.go
@@ -0,0 +1,206 @@
+package admin
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/chivewind/chivewind/adminapi"
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/internal/configstore"
+)
+
+// auditLimit is the number of audit entries in one answer.
+const auditLimit = 1000
+
+func (s *Server) getPresets(w http.ResponseWriter, _ *http.Request) {
+	snapshot, ok := s.snapshot(w)
+	if !ok {
+		return
+	}
+	w.Header().Set("ETag", etag(snapshot.Revision))
+	writeJSON(w, http.StatusOK, adminapi.PresetList{Revision: snapshot.Revision, InForce: snapshot.Config.Preset, Presets: snapshot.Config.Presets})
+}
+
+func (s *Server) getPreset(w http.ResponseWriter, r *http.Request) {
+	snapshot, ok := s.snapshot(w)
+	if !ok {
+		return
+	}
+	p, ok := snapshot.Config.FindPreset(r.PathValue("name"))
+	if !ok {
+		writeError(w, http.StatusNotFound, &adminapi.Error{Code: adminapi.CodeNotFound, Message: fmt.Sprintf("no preset %q", r.PathValue("name"))})
+		return
+	}
+	w.Header().Set("ETag", etag(p.Revision))
+	writeJSON(w, http.StatusOK, p)
+}
+
+func (s *Server) getConfig(w http.ResponseWriter, _ *http.Request) {
+	snapshot, ok := s.snapshot(w)
+	if !ok {
+		return
+	}
+	w.Header().Set("ETag", etag(snapshot.Revision))
+	writeJSON(w, http.StatusOK, adminapi.Config{Revision: snapshot.Revision, Config: snapshot.Config})
+}
+
+// snapshot returns the configuration in force, or answers that there is none.
+func (s *Server) snapshot(w http.ResponseWriter) (*config.Snapshot, bool) {
+	snapshot := s.store.Snapshot()
+	if snapshot == nil {
+		writeError(w, http.StatusNotFound, &adminapi.Error{Code: adminapi.CodeNotFound, Message: "no configuration yet; apply one with `chivewind config apply FILE`"})
+		return nil, false
+	}
+	return snapshot, true
+}
+
+func (s *Server) putPreset(w http.ResponseWriter, r *http.Request) {
+	var p config.Preset
+	seen, ok := ifMatch(w, r)
+	if !ok || !readBody(w, r, &p) {
+		return
+	}
+	if p.Name != r.PathValue("name") {
+		writeError(w, http.StatusBadRequest, &adminapi.Error{Code: adminapi.CodeInvalid, Message: "the name in the body differs from the path"})
+		return
+	}
+	writeResult(w, s.store.ApplyPreset(r.Context(), actor(r), p, seen))
+}
+
+func (s *Server) putConfig(w http.ResponseWriter, r *http.Request) {
+	var c config.Config
+	seen, ok := ifMatch(w, r)
+	if !ok || !readBody(w, r, &c) {
+		return
+	}
+	writeResult(w, s.store.Apply(r.Context(), actor(r), &c, seen))
+}
+
+func (s *Server) postSwitch(w http.ResponseWriter, r *http.Request) {
+	var req adminapi.SwitchRequest
+	if readBody(w, r, &req) {
+		writeResult(w, s.store.SwitchPreset(r.Context(), actor(r), req.Preset, req.PresetRevision))
+	}
+}
+
+// postDrain changes one endpoint of the configuration in force.
+func (s *Server) postDrain(w http.ResponseWriter, r *http.Request) {
+	var req adminapi.DrainRequest
+	snapshot, ok := s.snapshot(w)
+	if !ok || !readBody(w, r, &req) {
+		return
+	}
+	c := *snapshot.Config
+	c.Endpoints = slices.Clone(c.Endpoints)
+	i := slices.IndexFunc(c.Endpoints, func(e config.Endpoint) bool { return e.ID == r.PathValue("id") })
+	if i < 0 {
+		writeError(w, http.StatusNotFound, &adminapi.Error{Code: adminapi.CodeNotFound, Message: fmt.Sprintf("no endpoint %q", r.PathValue("id"))})
+		return
+	}
+	c.Endpoints[i].Drain = req.Drain
+	writeResult(w, s.store.Apply(r.Context(), actor(r), &c, snapshot.Revision))
+}
+
+func (s *Server) postSettle(w http.ResponseWriter, r *http.Request) {
+	var req adminapi.SettleRequest
+	if !readBody(w, r, &req) {
+		return
+	}
+	if s.settler == nil {
+		writeError(w, http.StatusServiceUnavailable, &adminapi.Error{Code: adminapi.CodeUnavailable, Message: "this daemon has no ledger"})
+		return
+	}
+	if err := s.settler.Settle(r.Context(), actor(r).Name, req); err != nil {
+		writeError(w, http.StatusConflict, &adminapi.Error{Code: adminapi.CodeInvalid, Message: err.Error()})
+		return
+	}
+	writeJSON(w, http.StatusOK, adminapi.Change{})
+}
+
+func (s *Server) getAttempt(w http.ResponseWriter, r *http.Request) {
+	result, err := s.store.Attempt(r.Context(), r.PathValue("id"))
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, &adminapi.Error{Code: adminapi.CodeUnavailable, Message: err.Error(), AttemptID: r.PathValue("id")})
+		return
+	}
+	writeJSON(w, http.StatusOK, adminapi.Attempt{AttemptID: result.Attempt, Outcome: string(result.Outcome), Revision: result.Revision})
+}
+
+func (s *Server) getAudit(w http.ResponseWriter, r *http.Request) {
+	entries, err := s.store.Audit(r.Context(), auditLimit)
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, &adminapi.Error{Code: adminapi.CodeUnavailable, Message: err.Error()})
+		return
+	}
+	trail := adminapi.Audit{Entries: []adminapi.AuditEntry{}}
+	for _, e := range entries {
+		if want := r.URL.Query().Get("outcome"); want == "" || want == string(e.Outcome) {
+			trail.Entries = append(trail.Entries, auditEntry(e))
+		}
+	}
+	writeJSON(w, http.StatusOK, trail)
+}
+
+func auditEntry(e configstore.Entry) adminapi.AuditEntry {
+	out := adminapi.AuditEntry{
+		Time: e.Time, Operator: e.Operator, Source: e.Address, Action: e.Action, Outcome: string(e.Outcome),
+		Revision: e.ToRevision, AttemptID: e.Attempt, From: e.FromPreset, To: e.ToPreset, Message: e.Reason,
+	}
+	for _, c := range e.Changes {
+		out.Changes = append(out.Changes, fmt.Sprint(c))
+	}
+	return out
+}
+
+// auditRefused logs a change that the operator's role does not allow. It does not reach the
+// configuration store, so that callers without a key cannot write to the key-value service.
+func (s *Server) auditRefused(r *http.Request, message string) {
+	s.log.Warn("administration call refused", "method", r.Method, "path", r.URL.Path, "source", r.RemoteAddr, "reason", message)
+}
+
+// writeResult answers a change with its outcome.
+func writeResult(w http.ResponseWriter, result configstore.Result) {
+	if result.Outcome == configstore.Accepted {
+		w.Header().Set("ETag", etag(result.Revision))
+		writeJSON(w, http.StatusOK, adminapi.Change{AttemptID: result.Attempt, Revision: result.Revision})
+		return
+	}
+	e := &adminapi.Error{AttemptID: result.Attempt, Message: result.Reason, Current: result.Revision}
+	status := http.StatusBadRequest
+	switch result.Outcome {
+	case configstore.Conflicting:
+		status, e.Code = http.StatusConflict, adminapi.CodeConflict
+		if c := result.Conflict; c != nil {
+			e.Seen, e.Current, e.SeenPreset, e.CurrentPreset = c.Seen, c.Current, c.ProposedPreset, c.CurrentPreset
+		}
+		if e.Message == "" {
+			e.Message = "another change came first"
+		}
+	case configstore.Rejected:
+		status, e.Code = http.StatusServiceUnavailable, adminapi.CodeUnavailable
+	case configstore.Unknown:
+		status, e.Code = http.StatusGatewayTimeout, adminapi.CodeUnknown
+	default:
+		e.Code = adminapi.CodeInvalid
+	}
+	writeError(w, status, e)
+}
+
+func etag(revision uint64) string { return strconv.Quote(strconv.FormatUint(revision, 10)) }
+
+// ifMatch reads the revision that the operator saw. Without the header it is 0: nothing there yet.
+func ifMatch(w http.ResponseWriter, r *http.Request) (uint64, bool) {
+	value := strings.Trim(r.Header.Get("If-Match"), `"`)
+	if value == "" {
+		return 0, true
+	}
+	revision, err := strconv.ParseUint(value, 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, &adminapi.Error{Code: adminapi.CodeInvalid, Message: "If-Match is not a revision"})
+		return 0, false
+	}
+	return revision, true
+}
--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -2,6 +2,8 @@
 package standard
 
 import (
+	_ "github.com/chivewind/chivewind/modules/endpoint/engine"
+	_ "github.com/chivewind/chivewind/modules/endpoint/plain"
 	_ "github.com/chivewind/chivewind/modules/kv/etcd"
 	_ "github.com/chivewind/chivewind/modules/policy/baseline"
 	_ "github.com/chivewind/chivewind/modules/policy/tiered"
--- /dev/null
+++ b/test/integration/callers_test.go
@@ -0,0 +1,243 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chivewind/chivewind/internal/checker"
+	"github.com/chivewind/chivewind/internal/standin/engine"
+)
+
+// eventLog collects what callers, stand-ins and operators saw.
+type eventLog struct {
+	t     *testing.T
+	start time.Time
+
+	mu     sync.Mutex
+	events []checker.Event
+}
+
+func newEventLog(t *testing.T) *eventLog { return &eventLog{t: t, start: time.Now()} }
+
+func (l *eventLog) add(e checker.Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e.At = time.Since(l.start)
+	l.events = append(l.events, e)
+}
+
+func (l *eventLog) revision(daemon string, revision uint64) {
+	l.add(checker.Event{Kind: checker.RevisionSeen, Daemon: daemon, Revision: revision})
+}
+
+// check fails the test for each violation in the log.
+func (l *eventLog) check() {
+	l.t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, v := range checker.Check(l.events, checker.DefaultBounds) {
+		l.t.Errorf("violation: %s", v)
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome checker.Outcome
+	text    string
+	// cut says that the stream ended without [DONE].
+	cut bool
+	err error
+}
+
+// chat is one chat completion of a caller.
+type chat struct {
+	id        string
+	prompt    string
+	maxTokens int
+	workspace string
+	class     string
+	// onToken is called after each token; it may be nil.
+	onToken func(n int)
+}
+
+// want is the answer that the stand-in engine gives to the prompt.
+func (c chat) want() string { return engine.Answer(engine.ChatPrompt(c.prompt), c.maxTokens) }
+
+// send streams a chat completion through a daemon and logs it for the checker.
+func (s *system) send(ctx context.Context, d *daemon, c chat) answer {
+	s.log.add(checker.Event{Kind: checker.CallerSent, Request: c.id})
+	a := s.stream(ctx, d, c)
+	s.log.add(checker.Event{Kind: checker.CallerDone, Request: c.id, Outcome: a.outcome, Got: a.text, Want: c.want()})
+	return a
+}
+
+func (s *system) stream(ctx context.Context, d *daemon, c chat) answer {
+	body, err := json.Marshal(map[string]any{
+		"model": "bonsai", "stream": true, "max_tokens": c.maxTokens,
+		"messages": []map[string]string{{"role": "user", "content": c.prompt}},
+	})
+	if err != nil {
+		return answer{err: err, outcome: checker.Failed}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return answer{err: err, outcome: checker.Failed}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Chivewind-Workspace", c.workspace)
+	if c.class != "" {
+		req.Header.Set("X-Chivewind-Class", c.class)
+	}
+	resp, err := callerClient.Do(req)
+	if err != nil {
+		return answer{err: err, outcome: checker.Failed}
+	}
+	defer resp.Body.Close()
+	a := readStream(resp.Body, c.onToken)
+	a.status = resp.StatusCode
+	a.outcome = outcomeOf(resp, a)
+	return a
+}
+
+// callerClient opens one connection for each request, as many small callers do.
+var callerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// outcomeOf takes the outcome from the header or the trailer. Without one, the answer failed.
+func outcomeOf(resp *http.Response, a answer) checker.Outcome {
+	outcome := resp.Trailer.Get("X-Chivewind-Outcome")
+	if outcome == "" {
+		outcome = resp.Header.Get("X-Chivewind-Outcome")
+	}
+	switch {
+	case outcome == "" && (a.err != nil || a.cut || resp.StatusCode >= 400):
+		return checker.Failed
+	case outcome == "":
+		return checker.Completed
+	}
+	return checker.Outcome(outcome)
+}
+
+// readStream reads SSE events until [DONE] or the end.
+func readStream(body io.Reader, onToken func(int)) answer {
+	a := answer{cut: true}
+	var text strings.Builder
+	n := 0
+	lines := newLineReader(body)
+	for {
+		line, err := lines.next()
+		if err != nil {
+			if err != io.EOF {
+				a.err = err
+			}
+			break
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.cut = false
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+			Error *struct {
+				Message string `json:"message"`
+			} `json:"error"`
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			a.err = fmt.Errorf("event %q: %w", data, err)
+			break
+		}
+		if chunk.Error != nil {
+			a.err = fmt.Errorf("error event: %s", chunk.Error.Message)
+		}
+		for _, c := range chunk.Choices {
+			if c.Delta.Content == "" {
+				continue
+			}
+			text.WriteString(c.Delta.Content)
+			n++
+			if onToken != nil {
+				onToken(n)
+			}
+		}
+	}
+	a.text = text.String()
+	return a
+}
+
+// book sends a non-idempotent booking with a key.
+func (s *system) book(ctx context.Context, d *daemon, key, body string) answer {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers+"/bookings/new", strings.NewReader(body))
+	if err != nil {
+		return answer{err: err, outcome: checker.Failed}
+	}
+	req.Header.Set("X-Chivewind-Workspace", "show")
+	req.Header.Set("Idempotency-Key", key)
+	resp, err := callerClient.Do(req)
+	if err != nil {
+		return answer{err: err, outcome: checker.Failed}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	a := answer{status: resp.StatusCode, text: string(raw), err: err}
+	a.outcome = outcomeOf(resp, a)
+	return a
+}
+
+// plainRuns returns how often a key ran on all plain services.
+func (s *system) plainRuns(key string) int {
+	s.t.Helper()
+	total := 0
+	for _, p := range s.plains {
+		var runs struct {
+			ByKey map[string]int `json:"by_key"`
+		}
+		s.getJSON("http://"+p.addr+"/admin/runs", &runs)
+		total += runs.ByKey[key]
+	}
+	return total
+}
+
+func (s *system) getJSON(url string, into any) {
+	s.t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		s.t.Fatalf("%s: %v", url, err)
+	}
+}
+
+// setFaults posts fault switches to a stand-in.
+func (s *system) setFaults(v *service, faults any) {
+	s.t.Helper()
+	raw, err := json.Marshal(faults)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	resp, err := http.Post("http://"+v.addr+"/admin/faults", "application/json", bytes.NewReader(raw))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode >= 300 {
+		s.t.Fatalf("faults of %s: %s", v.id, resp.Status)
+	}
+}
