Add the at-most-once ledger

Cause: a non-idempotent request must run at most once, also when its owner, its entry daemon or the key-value service fails.

Change: the owner of a partition holds a lease and writes groups of records in one transaction, conditional on its fencing token and on the position that its previous transaction wrote. A lost reply is settled by reading the position and, when it has not moved, by a transaction that only moves it.

--- a/internal/cluster/clustertest/clustertest.go
+++ b/internal/cluster/clustertest/clustertest.go
@@ -13,6 +13,20 @@
 	"github.com/chivewind/chivewind/peer"
 )
 
+// Start runs a daemon's part in the background. stop ends it and waits for it.
+func Start(ctx context.Context, run func(context.Context) error) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
 // Members is one daemon's view with a live set that tests change.
 type Members struct {
 	mu          sync.Mutex
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -1,7 +1,6 @@
 package configstore
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -41,16 +40,7 @@
 		},
 	})
 	d.Subscribe(func(s *config.Snapshot) { d.seen = append(d.seen, s.Revision) })
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		d.Run(ctx)
-	}()
-	d.stop = func() {
-		cancel()
-		<-done
-	}
+	d.stop = clustertest.Start(t.Context(), d.Run)
 	t.Cleanup(func() {
 		d.stop()
 		time.Sleep(time.Hour) // Delayed writes of the test end within this time.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/chivewind/chivewind/internal/cluster/clustertest"
 	"github.com/chivewind/chivewind/internal/standin/kv"
 	"github.com/chivewind/chivewind/platform"
 )
@@ -31,15 +32,9 @@
 func newDaemon(t *testing.T, store *kv.Store, id string) *daemon {
 	client := kv.NewClient(store)
 	s := New(client, id, testTTL, hclog.NewNullLogger())
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.Run(ctx)
-	}()
+	stop := clustertest.Start(t.Context(), s.Run)
 	t.Cleanup(func() {
-		cancel()
-		<-done
+		stop()
 		// Delayed writes of the test end within this time.
 		time.Sleep(2 * pause)
 	})
--- /dev/null
+++ b/internal/ledger/record.go
@@ -0,0 +1,95 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chivewind/chivewind/peer"
+	"github.com/chivewind/chivewind/platform"
+)
+
+// Partitions is the number of partitions of the ledger.
+const Partitions = 64
+
+const (
+	recordPrefix   = "ledger/record/"
+	sequencePrefix = "ledger/sequence/"
+	auditPrefix    = "audit/ledger/"
+	// rolePrefix is the prefix of the partitions' lease roles and rendezvous keys.
+	rolePrefix = "ledger-"
+	// keptSettlements is the number of audit entries kept for each partition.
+	keptSettlements = 100
+)
+
+// Key returns the ledger key of a request: the digest of workspace, route and idempotency key.
+func Key(workspace, route, idempotencyKey string) []byte {
+	h := sha256.New()
+	for _, part := range []string{workspace, route, idempotencyKey} {
+		fmt.Fprintf(h, "%d:%s", len(part), part)
+	}
+	return h.Sum(nil)
+}
+
+// PartitionOf returns the partition of a key.
+func PartitionOf(key []byte) uint32 {
+	if len(key) == 0 {
+		return 0
+	}
+	return uint32(key[0]) % Partitions
+}
+
+// role is the name of a partition's lease role, which is also its rendezvous key.
+func role(partition uint32) string { return fmt.Sprintf("%s%02d", rolePrefix, partition) }
+
+func partitionPrefix(partition uint32) string { return fmt.Sprintf("%s%02d/", recordPrefix, partition) }
+
+func recordKey(partition uint32, key []byte) string {
+	return partitionPrefix(partition) + hex.EncodeToString(key)
+}
+
+func sequenceKey(partition uint32) string { return fmt.Sprintf("%s%02d", sequencePrefix, partition) }
+
+func decodeRecord(kv platform.KeyValue) (*peer.LedgerRecord, error) {
+	r := &peer.LedgerRecord{}
+	if err := proto.Unmarshal(kv.Value, r); err != nil {
+		return nil, fmt.Errorf("ledger record %s: %w", kv.Key, err)
+	}
+	return r, nil
+}
+
+// position is the value of a partition's sequence key. Each transaction of the partition writes a
+// new one and is conditional on the one before, so that a lost reply can be settled by reading it.
+type position struct {
+	// token is the fencing token of the owner that wrote it.
+	token int64
+	// number counts the owner's transactions.
+	number uint64
+	// settlements counts the operators' decisions in the partition.
+	settlements uint64
+}
+
+func (p position) encode() []byte {
+	return fmt.Appendf(nil, "%d %d %d", p.token, p.number, p.settlements)
+}
+
+func decodePosition(raw []byte) (position, error) {
+	fields := strings.Fields(string(raw))
+	if len(fields) != 3 {
+		return position{}, fmt.Errorf("ledger sequence %q is malformed", raw)
+	}
+	var p position
+	var err error
+	if p.token, err = strconv.ParseInt(fields[0], 10, 64); err != nil {
+		return position{}, err
+	}
+	if p.number, err = strconv.ParseUint(fields[1], 10, 64); err != nil {
+		return position{}, err
+	}
+	p.settlements, err = strconv.ParseUint(fields[2], 10, 64)
+	return p, err
+}
