Count kinds of tier violations separately

Cause: a class of a lower tier that waits only for its own floor is counted like one that competes with the higher tiers, which hides what a policy does wrong.

Change: the checker counts sheds and preemptions while only floors wait under kinds of their own. They stay part of the total.

Conclusion: the kinds tell whether the order or the treatment of floors is at fault.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -127,19 +127,20 @@
 		desc   string
 		floor  float64
 		grants int
-		// waits leaves a request of the lower tier in the queue.
-		waits  bool
+		// waits is the number of requests of the lower tier left in the queue.
+		waits  int
 		reason policy.ShedReason
 		want   violations
 	}{
-		{"nothing below", 0, 0, false, policy.Overload, violations{}},
-		{"lower tier waits", 0, 0, true, policy.Overload, violations{ShedWhileLowerWaits: 1}},
-		{"one grant in the window", 0, 1, false, policy.Overload, violations{}},
-		{"second grant in the window", 0, 2, false, policy.Overload, violations{ShedAfterLowerGrant: 1}},
-		{"grants within the share", 0.5, 2, false, policy.Overload, violations{}},
-		{"expired after a grant", 0, 2, true, policy.Expired, violations{ExpiredAfterLowerGrant: 1}},
-		{"expired while a lower one waits", 0, 0, true, policy.Expired, violations{ExpiredWhileLowerWaits: 1}},
-		{"no endpoint", 0, 2, true, policy.NoEndpoint, violations{}},
+		{"nothing below", 0, 0, 0, policy.Overload, violations{}},
+		{"lower tier waits", 0, 0, 2, policy.Overload, violations{ShedWhileLowerWaits: 1}},
+		{"lower tier waits for its floor", 0, 0, 1, policy.Overload, violations{ShedWhileFloorWaits: 1}},
+		{"first grant in the window", 0, 1, 0, policy.Overload, violations{}},
+		{"more grants than the floor", 0, 2, 0, policy.Overload, violations{ShedAfterLowerGrant: 1}},
+		{"grants within the share", 0.5, 2, 0, policy.Overload, violations{}},
+		{"expired after a grant", 0, 2, 2, policy.Expired, violations{ExpiredAfterLowerGrant: 1}},
+		{"expired while a lower one waits", 0, 0, 2, policy.Expired, violations{ExpiredWhileLowerWaits: 1}},
+		{"no endpoint", 0, 2, 2, policy.NoEndpoint, violations{}},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			now := time.Minute
@@ -156,7 +157,7 @@
 				k.submit(lower)
 				k.decide(lower, policy.Decision{Kind: policy.Grant})
 			}
-			if c.waits {
+			for range c.waits {
 				k.submit(&call{class: &classSpec{Class: low.class}})
 			}
 			k.decide(upper, policy.Decision{Kind: policy.Shed, Reason: c.reason})
--- a/internal/bench/checker.go
+++ b/internal/bench/checker.go
@@ -39,16 +39,23 @@
 
 // violations counts violations of the tier rule by kind.
 type violations struct {
-	ShedWhileLowerWaits    int `json:"shed_while_lower_waits"`
+	ShedWhileLowerWaits int `json:"shed_while_lower_waits"`
+	// ShedWhileFloorWaits and PreemptWhileFloorWaits are those where a lower class has no more
+	// requests waiting than its floor has slots, which the higher tiers have no claim to.
+	ShedWhileFloorWaits    int `json:"shed_while_floor_waits"`
+	PreemptWhileFloorWaits int `json:"preempt_while_floor_waits"`
 	ShedAfterLowerGrant    int `json:"shed_after_lower_grant"`
 	ExpiredAfterLowerGrant int `json:"expired_after_lower_grant"`
-	PreemptWhileLower      int `json:"preempt_while_lower_waits_or_granted"`
+	PreemptWhileLowerWaits int `json:"preempt_while_lower_waits"`
+	PreemptAfterLowerGrant int `json:"preempt_after_lower_grant"`
 	// ExpiredWhileLowerWaits is not part of the total, see checker.
 	ExpiredWhileLowerWaits int `json:"expired_while_lower_waits"`
 }
 
 func (v violations) total() int {
-	return v.ShedWhileLowerWaits + v.ShedAfterLowerGrant + v.ExpiredAfterLowerGrant + v.PreemptWhileLower
+	return v.ShedWhileLowerWaits + v.ShedWhileFloorWaits + v.ShedAfterLowerGrant +
+		v.ExpiredAfterLowerGrant + v.PreemptWhileLowerWaits + v.PreemptWhileFloorWaits +
+		v.PreemptAfterLowerGrant
 }
 
 func newChecker(s *sim) *checker {
@@ -113,57 +120,80 @@
 		k.grant(state)
 	case policy.Shed:
 		state.waiting--
-		waits, granted := k.lower(c)
-		switch {
-		case d.Reason == policy.NoEndpoint:
-		case d.Reason == policy.Expired && granted:
-			k.violations.ExpiredAfterLowerGrant++
-		case d.Reason == policy.Expired && waits:
-			k.violations.ExpiredWhileLowerWaits++
-		case d.Reason == policy.Expired:
-		case waits:
-			k.violations.ShedWhileLowerWaits++
-		case granted:
-			k.violations.ShedAfterLowerGrant++
+		if d.Reason != policy.NoEndpoint {
+			k.check(c, d)
 		}
 	case policy.Preempt:
-		if waits, granted := k.lower(c); waits || granted {
-			k.violations.PreemptWhileLower++
+		k.check(c, d)
+	}
+}
+
+// check counts a violation, if any, under its most serious kind.
+func (k *checker) check(c *call, d policy.Decision) {
+	v := &k.violations
+	waits, beyondFloor, granted := k.lower(c)
+	kinds := [...]struct {
+		broken                 bool
+		shed, expired, preempt *int
+	}{
+		{granted, &v.ShedAfterLowerGrant, &v.ExpiredAfterLowerGrant, &v.PreemptAfterLowerGrant},
+		{beyondFloor, &v.ShedWhileLowerWaits, &v.ExpiredWhileLowerWaits, &v.PreemptWhileLowerWaits},
+		{waits, &v.ShedWhileFloorWaits, &v.ExpiredWhileLowerWaits, &v.PreemptWhileFloorWaits},
+	}
+	for _, kind := range kinds {
+		switch {
+		case !kind.broken:
+			continue
+		case d.Kind == policy.Preempt:
+			*kind.preempt++
+		case d.Reason == policy.Expired:
+			*kind.expired++
+		default:
+			*kind.shed++
 		}
+		return
 	}
 }
 
+// floorSlots is the number of slots of a class's floor.
+func (k *checker) floorSlots(state *classState) int {
+	return max(1, int(math.Ceil(state.class.Floor*float64(k.slots))))
+}
+
 // grant records a grant and whether the floor explains it: the class holds no more than its
 // share of the slots, or had no grant in the floor window.
 func (k *checker) grant(state *classState) {
 	k.events++
 	state.waiting--
 	state.running++
-	held := int(math.Ceil(state.class.Floor * float64(k.slots)))
-	if state.running > held && *k.now-state.lastGrant < floorWindow {
+	if state.running > k.floorSlots(state) && *k.now-state.lastGrant < floorWindow {
 		state.lastBeyond = k.events
 	}
 	state.lastGrant = *k.now
 }
 
-// lower says whether a request of a lower tier than c's waits, and whether one was granted beyond
-// its floor since c was submitted.
-func (k *checker) lower(c *call) (waits, granted bool) {
+// lower says whether a request of a lower tier than c's waits, whether more of them wait than
+// their floors have slots, and whether one was granted beyond its floor since c was submitted.
+func (k *checker) lower(c *call) (waits, beyondFloor, granted bool) {
 	tier := k.tier(c)
 	for _, state := range k.order {
 		if state.class.Tier <= tier {
 			continue
 		}
 		waits = waits || state.waiting > 0
+		beyondFloor = beyondFloor || state.waiting > k.floorSlots(state)
 		granted = granted || state.lastBeyond > c.submitOrder
 	}
-	return waits, granted
+	return waits, beyondFloor, granted
 }
 
 func (v *violations) add(o violations) {
 	v.ShedWhileLowerWaits += o.ShedWhileLowerWaits
 	v.ShedAfterLowerGrant += o.ShedAfterLowerGrant
 	v.ExpiredAfterLowerGrant += o.ExpiredAfterLowerGrant
-	v.PreemptWhileLower += o.PreemptWhileLower
+	v.ShedWhileFloorWaits += o.ShedWhileFloorWaits
+	v.PreemptWhileFloorWaits += o.PreemptWhileFloorWaits
+	v.PreemptWhileLowerWaits += o.PreemptWhileLowerWaits
+	v.PreemptAfterLowerGrant += o.PreemptAfterLowerGrant
 	v.ExpiredWhileLowerWaits += o.ExpiredWhileLowerWaits
 }
--- a/internal/bench/policies_test.go
+++ b/internal/bench/policies_test.go
@@ -12,7 +12,7 @@
 	seedFlag     = flag.Uint64("seed", 1, "first seed of BenchmarkPolicies")
 	seedsFlag    = flag.Int("seeds", 10, "number of seeds of BenchmarkPolicies")
 	policiesFlag = flag.String("policies", "", "comma-separated policies of BenchmarkPolicies; empty means all")
-	jsonFlag     = flag.Bool("json", false, "print results of BenchmarkPolicies as JSON")
+	lineFlag     = flag.Bool("line", false, "print results of BenchmarkPolicies as one JSON line each")
 )
 
 // BenchmarkPolicies prints the tables of docs/MEASUREMENTS.md. Run it with -benchtime 1x and
@@ -32,7 +32,7 @@
 						b.Fatal(err)
 					}
 					text := r.String()
-					if *jsonFlag {
+					if *lineFlag {
 						if text, err = r.JSON(); err != nil {
 							b.Fatal(err)
 						}
