Complete the tiered policy: shedding, preemption, limits, health

Cause: the minimal policy only ordered requests. Section 2.12 of the design also asks for admission by predicted wait, late actions, slots by AIMD, endpoint choice by corrected load and cached prefixes, ejection of stragglers, preemption and a checked tier rule.

Change: these mechanisms, each with a switch in settings; package health; a property test that checks every decision against a model of the shard; a benchmark.

--- a/modules/policy/tiered/choose.go
+++ b/modules/policy/tiered/choose.go
@@ -1,10 +1,22 @@
 package tiered
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
+const (
+	// idleCost is the cost of an idle endpoint, in units of its time to the first token; each
+	// unit of relative load adds one.
+	idleCost = 0.5
+	// cacheGain is the part of the cost that a completely cached prompt saves.
+	cacheGain = 0.8
+	// avoidZoneCost multiplies the cost of endpoints in the zone to avoid, so that they are used
+	// only when no other endpoint has a free slot.
+	avoidZoneCost = 1e6
+)
+
 // eligible says whether a request may run on an endpoint at all.
 func (p *Policy) eligible(it *item, e *endpoint) bool {
 	r := it.req
@@ -14,29 +26,70 @@
 	if r.Adapter != "" && !slices.Contains(e.Adapters, r.Adapter) {
 		return false
 	}
-	return !slices.Contains(r.Avoid, e.ID)
+	return len(r.Avoid) == 0 || !slices.Contains(r.Avoid, e.ID)
 }
 
-// choose returns the endpoint with a free slot that suits a request best, nil when there is none.
+// choose returns the endpoint with a free slot and the least cost for a request, nil when there is
+// none. The cost is the expected time to the first token, less for a cached prefix where the load
+// allows it. On a near tie an endpoint in the request's availability zone is preferred.
 func (p *Policy) choose(now time.Duration, it *item) *endpoint {
-	var best *endpoint
-	var least float64
+	var depths []uint8
+	if !p.Off.Affinity && len(it.req.Blocks) > 0 {
+		depths = p.cache.match(it.req.Blocks)
+	}
+	var best, near *endpoint
+	least, leastNear := math.Inf(1), math.Inf(1)
 	n := len(p.endpoints)
 	for i := range n {
-		e := p.endpoints[(i+p.rotation)%n]
-		if !p.open(e, now) || !p.eligible(it, e) || it.req.Suspect && e.suspects > 0 {
+		at := i + p.rotation
+		if at >= n {
+			at -= n
+		}
+		e := p.endpoints[at]
+		if !p.open(e) {
 			continue
 		}
 		used, slots := p.used(e, now), p.slots(e)
-		if used >= slots {
+		if used >= slots || !p.eligible(it, e) || it.req.Suspect && e.suspects > 0 {
 			continue
 		}
-		if load := float64(used) / float64(slots); best == nil || load < least {
-			best, least = e, load
+		cost := p.cost(it, e, used, slots, depths)
+		if cost < least {
+			best, least = e, cost
+		}
+		if e.Zone == it.req.Zone && cost < leastNear {
+			near, leastNear = e, cost
 		}
 	}
 	if best != nil {
 		p.rotation = (p.rotation + 1) % n
 	}
+	if near != nil && !p.Off.Zones && leastNear <= least*(1+p.ZoneTie) {
+		return near
+	}
 	return best
 }
+
+// cost returns what running a request on an endpoint costs in time to the first token.
+func (p *Policy) cost(it *item, e *endpoint, used, slots int, depths []uint8) float64 {
+	first := 1.0
+	if own, all := e.first.Value(), p.first.Value(); own > 0 && all > 0 {
+		first = own / all
+	}
+	cost := first * (idleCost + float64(used)/float64(slots))
+	if depths != nil && depths[e.index] > 0 && p.belowBound(used, slots) {
+		cached := float64(depths[e.index]) / float64(min(len(it.req.Blocks), maxPrefixBlocks))
+		cost *= 1 - cacheGain*cached
+	}
+	if it.req.AvoidZone != "" && e.Zone == it.req.AvoidZone {
+		cost *= avoidZoneCost
+	}
+	return cost
+}
+
+// belowBound says whether one more request keeps an endpoint's load within the bound above the
+// mean, each endpoint's share of the mean being in proportion to its slots.
+func (p *Policy) belowBound(used, slots int) bool {
+	mean := float64(p.capacity-p.free+1) * float64(slots) / float64(p.capacity)
+	return float64(used+1) <= math.Ceil(p.AffinityBound*mean)
+}
--- a/modules/policy/tiered/item.go
+++ b/modules/policy/tiered/item.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chivewind/chivewind/internal/estimate"
 	"github.com/chivewind/chivewind/policy"
 )
 
@@ -14,28 +15,50 @@
 	id    policy.AttemptID
 	req   *policy.Request
 	class *class
+	// series predicts the request's times and length.
+	series *estimate.Series
 
 	// While waiting.
 	lane       *lane
 	flow       *flow
-	prev, next *item
+	prev, next *item // In the flow while waiting, in the class's list while running.
 	// seq numbers the submission; the tier rule compares it with grants.
 	seq         uint64
 	submittedAt time.Duration
 	// latest is the last time at which a start still meets the targets.
-	latest  time.Duration
+	latest time.Duration
+	// expiry is when the request is refused because it is useless.
+	expiry time.Duration
+	// demoteAt is when the request goes behind the feasible ones of its tier.
+	demoteAt time.Duration
+	// preemptAt is when the request may next preempt.
+	preemptAt time.Duration
+	// stranded is when the request is refused because no endpoint can run it.
+	stranded time.Duration
+	late     policy.LateAction
+	// kept requests are not shed because of a predicted wait.
+	kept    bool
 	demoted bool
-	cost    float64
-	timer   time.Duration
-	index   int
+	// urgent says that the request is close to its latest start.
+	urgent bool
+	cost   float64
+	timer  time.Duration
+	index  int
 
 	// While running.
-	endpoint   *endpoint
-	grantedAt  time.Duration
+	endpoint  *endpoint
+	grantedAt time.Duration
+	firstAt   time.Duration
+	// progressAt is when tokens last arrived, checkedAt when progress was last reported.
 	progressAt time.Duration
+	checkedAt  time.Duration
 	tokens     int
 	// floor says that the class was within its floor when the request was granted.
 	floor bool
+	// passedOver says that a lower tier was granted a slot before this request.
+	passedOver bool
+	// preempting says that a Preempt decision was made.
+	preempting bool
 }
 
 func (it *item) before(o *item) bool {
@@ -62,11 +85,15 @@
 	}
 	p.seq++
 	*it = item{id: r.ID, req: r, class: c, seq: p.seq, index: -1}
+	it.series = p.estimates.Series(estimate.Key{Class: c.Name, Model: r.Model})
 	p.items[r.ID] = it
 	return it
 }
 
 func (p *Policy) freeItem(it *item) {
+	if it.index >= 0 {
+		p.timers.remove(it)
+	}
 	delete(p.items, it.id)
 	*it = item{}
 	p.spareItems = append(p.spareItems, it)
--- a/modules/policy/tiered/lane.go
+++ b/modules/policy/tiered/lane.go
@@ -7,7 +7,9 @@
 	tag        float64
 	head, tail *item
 	waiting    int
-	index      int
+	// weight is the workspace's weight when the flow became active.
+	weight float64
+	index  int
 }
 
 func (f *flow) before(o *flow) bool { return f.tag < o.tag }
@@ -63,9 +65,13 @@
 		l.flows[name] = f
 		l.heap.push(f)
 	}
-	if f.head == nil && f.tag < l.class.virtual {
-		f.tag = l.class.virtual
-		l.heap.fix(f)
+	if f.head == nil {
+		f.weight = p.weight(name)
+		l.class.activeWeight += f.weight
+		if f.tag < l.class.virtual {
+			f.tag = l.class.virtual
+			l.heap.fix(f)
+		}
 	}
 	it.lane, it.flow = l, f
 	it.prev, it.next = f.tail, nil
@@ -95,16 +101,35 @@
 		f.tail = it.prev
 	}
 	it.prev, it.next, it.lane, it.flow = nil, nil, nil, nil
+	if it.urgent {
+		it.urgent = false
+		c.urgent--
+	}
 	f.waiting--
 	l.waiting--
 	c.waiting--
 	c.policy.waiting--
+	if f.head == nil {
+		c.activeWeight -= f.weight
+	}
+	if c.waiting == 0 {
+		c.activeWeight = 0 // Removes rounding errors.
+	}
 	if granted {
 		c.virtual = max(c.virtual, f.tag)
-		f.tag += it.cost / c.policy.weight(f.workspace)
+		f.tag += it.cost / f.weight
 		l.heap.fix(f)
 	}
 	if l.waiting == 0 {
 		c.policy.dropLane(l)
 	}
 }
+
+// each calls f for all requests of the lane.
+func (l *lane) each(f func(*item)) {
+	for _, fl := range l.heap {
+		for it := fl.head; it != nil; it = it.next {
+			f(it)
+		}
+	}
+}
--- /dev/null
+++ b/modules/policy/tiered/limit.go
@@ -0,0 +1,80 @@
+package tiered
+
+import (
+	"time"
+)
+
+const (
+	// limitMargin is the part of the target that the mean time between tokens may reach, because
+	// the target applies to the slow part of the distribution.
+	limitMargin = 0.9
+	// slowStart is the growth of the slots per interval until tokens first arrive too slowly.
+	slowStart = 1.5
+)
+
+// pace holds what an endpoint's number of slots follows from: the mean time between tokens of the
+// current interval against the strictest target that is running.
+type pace struct {
+	limit float64
+	// tuned says that the limit was reduced once, so that it grows by one slot per interval.
+	tuned  bool
+	tickAt time.Duration
+	// spent and tokens accumulate the progress of the interval.
+	spent  time.Duration
+	tokens int
+	// target is the strictest target that was running in the interval.
+	target time.Duration
+	// busy says that all slots were in use at some time in the interval.
+	busy bool
+	// reported is the endpoint's own value of the time between tokens.
+	reported time.Duration
+	// queued counts consecutive load reports with requests waiting inside the endpoint.
+	queued int
+}
+
+func (l *pace) want(target time.Duration) {
+	if target > 0 && (l.target == 0 || target < l.target) {
+		l.target = target
+	}
+}
+
+// slots returns the number of attempts that may run at once.
+func (p *Policy) slots(e *endpoint) int {
+	slots := float64(e.MaxSlots)
+	if !p.Off.Limits && p.paced {
+		slots = e.pace.limit
+	}
+	if !p.Off.Health {
+		slots *= e.health.Share()
+	}
+	return max(1, int(slots))
+}
+
+// tickLimit changes an endpoint's slots once per interval: by one up when they were all in use and
+// tokens arrived in time, by a factor down when tokens arrived too slowly.
+func (p *Policy) tickLimit(now time.Duration, e *endpoint) {
+	l := &e.pace
+	if now < l.tickAt {
+		return
+	}
+	between := l.reported
+	if l.tokens > 0 {
+		between = l.spent / time.Duration(l.tokens)
+	}
+	allowed := time.Duration(limitMargin * float64(l.target))
+	switch {
+	case l.target > 0 && between > allowed || l.queued >= 2:
+		// An endpoint that still has more attempts than slots has not yet reacted.
+		if e.running <= int(l.limit) {
+			l.limit = p.LimitDecrease * min(l.limit, float64(max(1, e.running)))
+			l.tuned = true
+		}
+	case l.busy && l.tuned:
+		l.limit++
+	case l.busy:
+		l.limit *= slowStart
+	}
+	l.limit = min(max(l.limit, float64(e.MinSlots)), float64(e.MaxSlots))
+	l.tickAt = now + p.LimitInterval
+	l.spent, l.tokens, l.target, l.reported, l.busy = 0, 0, 0, 0, false
+}
--- a/modules/policy/tiered/policy.go
+++ b/modules/policy/tiered/policy.go
@@ -4,9 +4,15 @@
 	"time"
 
 	"github.com/chivewind/chivewind"
+	"github.com/chivewind/chivewind/internal/estimate"
+	"github.com/chivewind/chivewind/internal/health"
 	"github.com/chivewind/chivewind/policy"
 )
 
+// promptTokensPerToken is how many prompt tokens cost an engine about as much as one generated
+// token. Fair queueing charges workspaces for both.
+const promptTokensPerToken = 8
+
 func init() {
 	chivewind.Register(New(DefaultSettings()))
 }
@@ -25,32 +31,54 @@
 	byName    map[string]*class
 	endpoints []*endpoint
 	byID      map[string]*endpoint
-	items     map[policy.AttemptID]*item
-	weights   map[string]float64
-	waiting   int
-	seq       uint64
-	pass      uint64
+	// items holds all waiting and running requests.
+	items   map[policy.AttemptID]*item
+	weights map[string]float64
+	timers  indexHeap[*item]
+	// urgent lists requests that may preempt in this step.
+	urgent []policy.AttemptID
+	// pending holds decisions made outside Step.
+	pending   []policy.Decision
+	estimates *estimate.Estimator
+	health    *health.Monitor
+	cache     *prefixCache
+
+	now     time.Duration
+	waiting int
+	seq     uint64
+	pass    uint64
 	// paced says that a class has a target for the time between tokens.
 	paced bool
 	// capacity is the number of slots of all open endpoints, free the unused ones.
 	capacity   int
 	free       int
 	rotation   int
+	first      estimate.Average
+	preempting int
+	trimAt     time.Duration
+	tickAt     time.Duration
 	violations int
 
-	spareItems []*item
-	spareFlows []*flow
-	spareLanes []*lane
+	// unused says that a class that is not in the settings has lost its last request.
+	unused bool
+
+	spareItems   []*item
+	spareFlows   []*flow
+	spareLanes   []*lane
+	spareIndexes []int
 }
 
 // New returns a policy without classes and endpoints.
 func New(s Settings) *Policy {
 	return &Policy{
-		Settings: s,
-		byName:   map[string]*class{},
-		byID:     map[string]*endpoint{},
-		items:    map[policy.AttemptID]*item{},
-		weights:  map[string]float64{},
+		Settings:  s,
+		byName:    map[string]*class{},
+		byID:      map[string]*endpoint{},
+		items:     map[policy.AttemptID]*item{},
+		weights:   map[string]float64{},
+		estimates: estimate.New(),
+		health:    health.NewMonitor(),
+		cache:     newPrefixCache(),
 	}
 }
 
@@ -62,24 +90,8 @@
 	}
 }
 
-// SetClasses implements policy.Policy.
-func (p *Policy) SetClasses(now time.Duration, classes []policy.Class) {
-	for _, c := range p.classes {
-		c.current = false
-	}
-	p.paced = false
-	for _, settings := range classes {
-		c := p.byName[settings.Name]
-		if c == nil {
-			c = p.addClass(settings)
-		}
-		c.Class, c.current = settings, true
-		p.paced = p.paced || settings.BetweenTokens > 0
-	}
-	p.dropUnused()
-}
-
-// SetWeights implements policy.Policy.
+// SetWeights implements policy.Policy. A workspace with waiting requests in a class keeps its weight
+// there until they are gone.
 func (p *Policy) SetWeights(now time.Duration, weights []policy.Weight) {
 	clear(p.weights)
 	for _, w := range weights {
@@ -101,23 +113,16 @@
 	if p.items[r.ID] != nil {
 		return
 	}
-	it := p.newItem(r, p.classFor(r.Class))
+	it := p.newItem(r, p.classFor(now, r.Class))
 	it.submittedAt = now
-	it.cost = 1
-	p.schedule(now, it)
-	p.laneFor(it).add(it)
-}
-
-// schedule sets the times that follow from the class's targets.
-func (p *Policy) schedule(now time.Duration, it *item) {
-	c, r := it.class, it.req
-	it.latest = never
-	if c.FirstToken > 0 {
-		it.latest = r.Arrival + c.FirstToken
-	}
-	if c.Total > 0 {
-		it.latest = min(it.latest, r.Arrival+c.Total)
+	it.cost = float64(1 + r.PromptTokens/promptTokensPerToken + it.series.Tokens(0.5, r.ResumedTokens, r.MaxTokens) - r.ResumedTokens)
+	p.schedule(it)
+	if !p.servable(it) {
+		it.stranded = now + p.NoEndpointWait
 	}
+	p.laneFor(it).add(it)
+	p.setTimer(it)
+	p.admit(now, it)
 }
 
 // Resume implements policy.Policy.
@@ -125,75 +130,11 @@
 	if p.items[r.ID] != nil {
 		return
 	}
-	it := p.newItem(r, p.classFor(r.Class))
+	it := p.newItem(r, p.classFor(now, r.Class))
 	it.submittedAt, it.tokens, it.progressAt = now, tokens, now
 	p.start(now, it, p.endpointFor(endpoint))
 }
 
-// start counts a request as running.
-func (p *Policy) start(now time.Duration, it *item, e *endpoint) {
-	it.endpoint, it.grantedAt = e, now
-	it.class.running++
-	e.running++
-	if it.req.Suspect {
-		e.suspects++
-	}
-}
-
-// stop counts a running request as ended and forgets it.
-func (p *Policy) stop(it *item) {
-	e := it.endpoint
-	it.class.running--
-	e.running--
-	if it.req.Suspect {
-		e.suspects--
-	}
-	gone := !e.known && e.running == 0
-	unused := !it.class.current && it.class.running == 0 && it.class.waiting == 0
-	p.freeItem(it)
-	if gone {
-		p.dropEndpoints()
-	}
-	if unused {
-		p.dropUnused()
-	}
-}
-
-// Progress implements policy.Policy.
-func (p *Policy) Progress(now time.Duration, id policy.AttemptID, tokens int, firstToken time.Duration) {
-}
-
-// Finish implements policy.Policy.
-func (p *Policy) Finish(now time.Duration, id policy.AttemptID, outcome policy.Outcome, tokens int) {
-	it := p.items[id]
-	if it == nil {
-		return
-	}
-	if it.endpoint == nil {
-		p.forget(it)
-		return
-	}
-	p.stop(it)
-}
-
-// Cancel implements policy.Policy.
-func (p *Policy) Cancel(now time.Duration, id policy.AttemptID) {
-	p.Finish(now, id, policy.Canceled, 0)
-}
-
-// forget removes a waiting request.
-func (p *Policy) forget(it *item) {
-	c := it.class
-	it.lane.take(it, false)
-	p.freeItem(it)
-	if !c.current && c.running == 0 && c.waiting == 0 {
-		p.dropUnused()
-	}
-}
-
-// Report implements policy.Policy.
-func (p *Policy) Report(now time.Duration, report policy.LoadReport) {}
-
 // Status implements policy.Policy.
 func (p *Policy) Status(now time.Duration) policy.Status {
 	s := policy.Status{TierViolations: p.violations}
@@ -203,16 +144,13 @@
 		})
 	}
 	for _, e := range p.endpoints {
+		state := e.health.State().String()
+		if e.Draining || !e.known {
+			state = "draining"
+		}
 		s.Endpoints = append(s.Endpoints, policy.EndpointStatus{
-			ID: e.ID, Zone: e.Zone, Running: e.running, Slots: p.slots(e), State: p.state(e),
+			ID: e.ID, Zone: e.Zone, Running: e.running, Slots: p.slots(e), State: state,
 		})
 	}
 	return s
 }
-
-func (p *Policy) state(e *endpoint) string {
-	if e.Draining || !e.known {
-		return "draining"
-	}
-	return "ready"
-}
--- a/modules/policy/tiered/step.go
+++ b/modules/policy/tiered/step.go
@@ -8,28 +8,74 @@
 
 // Step implements policy.Policy.
 func (p *Policy) Step(now time.Duration, dst []policy.Decision) ([]policy.Decision, time.Duration) {
+	p.now = now
+	p.dropUnused()
+	p.tick(now)
 	p.measureCapacity(now)
+	p.runTimers(now)
+	dst = p.flush(dst)
 	dst = p.grantAll(now, dst)
-	return dst, 0
+	dst = p.preemptAll(now, dst)
+	p.trim(now)
+	dst = p.flush(dst)
+	return dst, p.nextStep()
+}
+
+// flush moves the pending decisions to dst.
+func (p *Policy) flush(dst []policy.Decision) []policy.Decision {
+	dst = append(dst, p.pending...)
+	p.pending = p.pending[:0]
+	return dst
+}
+
+// nextStep returns when something is due without a further event, zero for never.
+func (p *Policy) nextStep() time.Duration {
+	if len(p.items) == 0 {
+		return 0
+	}
+	next := p.tickAt
+	if len(p.timers) > 0 {
+		next = min(next, p.timers[0].timer)
+	}
+	if p.waiting > 0 && !p.Off.Admission {
+		next = min(next, p.trimAt)
+	}
+	return next
+}
+
+// tick updates the endpoints' health and slots.
+func (p *Policy) tick(now time.Duration) {
+	if now < p.tickAt {
+		return
+	}
+	p.tickAt = p.health.Tick(now)
+	for _, e := range p.endpoints {
+		p.tickLimit(now, e)
+	}
 }
 
 // measureCapacity counts slots and derives the floors from them.
 func (p *Policy) measureCapacity(now time.Duration) {
 	p.capacity, p.free = 0, 0
 	for _, e := range p.endpoints {
-		if !p.open(e, now) {
+		if !p.open(e) {
 			continue
 		}
-		slots := p.slots(e)
+		slots, used := p.slots(e), p.used(e, now)
 		p.capacity += slots
-		p.free += max(0, slots-p.used(e, now))
+		if used < slots {
+			p.free += slots - used
+		} else {
+			e.pace.busy = true
+		}
 	}
 	var floors float64
 	for _, c := range p.classes {
 		floors += c.Floor
 	}
 	for _, c := range p.classes {
-		// Floors that add up to more than the shard are reduced in proportion.
+		// Floors that add up to more than the shard are reduced in proportion. The small term keeps
+		// a product such as 0.1 * 30 from being rounded down to 2.
 		c.floorSlots = int(c.Floor/max(1, floors)*float64(p.capacity) + 1e-9)
 	}
 }
@@ -55,72 +101,24 @@
 func (p *Policy) grant(now time.Duration, it *item, e *endpoint) policy.Decision {
 	c := it.class
 	it.floor = c.withinFloor(now)
+	it.passedOver = it.seq <= c.passedOver
 	it.lane.take(it, true)
-	p.start(now, it, e)
-	c.granted, c.lastGrant = true, now
-	p.free--
-	return policy.Decision{Kind: policy.Grant, ID: it.id, Endpoint: e.ID}
-}
-
-// nextItem returns the request that should start next: first classes within their floor, the one
-// without a grant for longest first, then the highest tier, in it the feasible requests before the
-// demoted ones, and among these the one with the least slack.
-func (p *Policy) nextItem(now time.Duration) *item {
-	var best *item
-	for _, c := range p.classes {
-		if c.waiting == 0 || !c.withinFloor(now) {
-			continue
-		}
-		if best != nil && !c.overdue(best.class) {
-			continue
-		}
-		it := c.next(false)
-		if it == nil {
-			it = c.next(true)
-		}
-		if it != nil {
-			best = it
-		}
+	if !it.floor {
+		p.noteGrant(it, e)
 	}
-	if best != nil {
-		return best
+	if it.index >= 0 {
+		p.timers.remove(it)
 	}
-	for _, c := range p.classes {
-		if c.waiting == 0 || best != nil && c.tier() > best.class.tier() {
-			continue
-		}
-		if it := c.next(false); it != nil && p.precedes(it, best) {
-			best = it
-		}
-		if it := c.next(true); it != nil && p.precedes(it, best) {
-			best = it
+	p.start(now, it, e)
+	c.lastGrant = now
+	p.free--
+	if !p.Off.Affinity {
+		for i, block := range it.req.Blocks {
+			if i == maxPrefixBlocks {
+				break
+			}
+			p.cache.add(e.index, &e.ring, block)
 		}
 	}
-	return best
-}
-
-// overdue says whether c had its last grant before o.
-func (c *class) overdue(o *class) bool {
-	if c.granted != o.granted {
-		return !c.granted
-	}
-	if c.lastGrant != o.lastGrant {
-		return c.lastGrant < o.lastGrant
-	}
-	return c.tier() < o.tier()
-}
-
-// precedes says whether a goes before b, apart from floors.
-func (p *Policy) precedes(a, b *item) bool {
-	switch {
-	case b == nil:
-		return true
-	case a.class.tier() != b.class.tier():
-		return a.class.tier() < b.class.tier()
-	case a.demoted != b.demoted:
-		return b.demoted
-	case a.latest != b.latest && !p.Off.Slack:
-		return a.latest < b.latest
-	}
-	return a.seq < b.seq
+	return policy.Decision{Kind: policy.Grant, ID: it.id, Endpoint: e.ID}
 }
--- a/modules/policy/tiered/tiered_test.go
+++ b/modules/policy/tiered/tiered_test.go
@@ -27,12 +27,12 @@
 	p.Submit(0, &policy.Request{ID: policy.AttemptID{Request: "q1", Number: 1}, Class: "quick"})
 	p.Submit(0, &policy.Request{ID: policy.AttemptID{Request: "q2", Number: 1}, Class: "quick"})
 	got, _ := p.Step(0, nil)
-	if len(got) != 2 || got[0].ID.Request != "q1" {
-		t.Fatalf("decisions %+v, want two grants, q1 first", got)
+	if len(got) != 2 || got[0].ID.Request != "q1" || got[1].ID.Request != "q2" {
+		t.Fatalf("decisions %+v, want grants of q1 and q2", got)
 	}
 	p.Finish(time.Second, got[1].ID, policy.Completed, 0)
 	got, _ = p.Step(time.Second, nil)
-	if len(got) != 1 || got[0].ID.Request != "q2" {
-		t.Fatalf("decisions %+v, want a grant of q2", got)
+	if len(got) != 1 || got[0].ID.Request != "b1" {
+		t.Fatalf("decisions %+v, want a grant of b1", got)
 	}
 }
