Choose endpoints by prefill backlog; hold the tier rule literally

Preemption cost more prefill than it gained, and some sheds and preemptions happened while lower tiers waited.

Change: the cost of an endpoint is its expected backlog of prompts, from a fitted time per prompt token, in proportion to the class's target, plus the relative load. Early sheds and preemptions need that no lower tier waits. A preemption must gain more slot time than the restart costs and does not happen while the tier is shed anyway. Slots shrink in proportion to the excess.

--- a/modules/policy/tiered/admit.go
+++ b/modules/policy/tiered/admit.go
@@ -9,7 +9,7 @@
 const (
 	// trimInterval is the time between two checks of the queue against the predicted wait.
 	trimInterval = 100 * time.Millisecond
-	// trimBudget bounds the flows checked per trim and class, so that a decision stays short.
+	// trimBudget bounds the flows checked and the requests shed per trim and class, so that a decision stays short.
 	trimBudget = 64
 	// waitTolerance and waitMargin are how much a predicted wait may exceed what is left to a
 	// request before it is shed early. Predictions of the mean are often too long by some part.
@@ -74,7 +74,8 @@
 // admit sheds a request that has just been queued if its predicted wait is too long, and bounds the
 // number of waiting requests.
 func (p *Policy) admit(now time.Duration, it *item) {
-	if it.class.waiting > it.class.floorQueue() && !p.admissible(now, it) && (p.Off.Tiers || !p.lowerWaits(it.class.Tier)) {
+	c := it.class
+	if c.waiting > c.floorQueue() && (p.Off.Tiers || !p.lowerWaits(c.Tier, false)) && !p.admissible(now, it) {
 		p.shed(now, it, policy.Overload)
 		return
 	}
@@ -133,11 +134,10 @@
 	p.trimAt = now + trimInterval
 	lowest := 0
 	for _, c := range p.classes {
-		if c.waiting > c.floorQueue() {
+		if c.waiting > 0 {
 			lowest = max(lowest, c.tier())
 		}
 	}
-	// Higher tiers are trimmed only when no lower one is left, which is so in a later trim.
 	for _, c := range p.classes {
 		if c.tier() == lowest && c.waiting > c.floorQueue() {
 			p.trimClass(now, c)
@@ -149,18 +149,16 @@
 	budget := trimBudget
 	for i := len(c.lanes) - 1; i >= 0 && budget > 0; i-- {
 		l := c.lanes[i]
-		for range len(l.heap) {
-			budget--
-			if budget < 0 || c.waiting <= c.floorQueue() {
-				return
-			}
-			it := l.nextFlow().tail
-			if it == nil || p.admissible(now, it) {
-				continue
+		for flows := len(l.heap); flows > 0 && l.waiting > 0; flows-- {
+			f := l.nextFlow()
+			for f.tail != nil && !p.admissible(now, f.tail) {
+				if budget--; budget < 0 || c.waiting <= c.floorQueue() {
+					return
+				}
+				p.shed(now, f.tail, policy.Overload)
 			}
-			p.shed(now, it, policy.Overload)
-			if l.waiting == 0 {
-				break
+			if budget--; budget < 0 {
+				return
 			}
 		}
 	}
@@ -173,6 +171,7 @@
 	}
 	c := it.class
 	c.shed++
+	c.lastShed = now
 	p.pending = append(p.pending, policy.Decision{
 		Kind: policy.Shed, ID: it.id, Reason: reason, RetryAfter: p.retryAfter(c),
 	})
--- a/modules/policy/tiered/choose.go
+++ b/modules/policy/tiered/choose.go
@@ -6,16 +6,9 @@
 	"time"
 )
 
-const (
-	// idleCost is the cost of an idle endpoint, in units of its time to the first token; each
-	// unit of relative load adds one.
-	idleCost = 0.5
-	// cacheGain is the part of the cost that a completely cached prompt saves.
-	cacheGain = 0.8
-	// avoidZoneCost multiplies the cost of endpoints in the zone to avoid, so that they are used
-	// only when no other endpoint has a free slot.
-	avoidZoneCost = 1e6
-)
+// avoidZoneCost is added for endpoints in the zone to avoid, so that they are used only when no
+// other endpoint has a free slot.
+const avoidZoneCost = 1e6
 
 // eligible says whether a request may run on an endpoint at all.
 func (p *Policy) eligible(it *item, e *endpoint) bool {
@@ -30,13 +23,13 @@
 }
 
 // choose returns the endpoint with a free slot and the least cost for a request, nil when there is
-// none. The cost is the expected time to the first token, less for a cached prefix where the load
-// allows it. On a near tie an endpoint in the request's availability zone is preferred.
+// none. On a near tie an endpoint in the request's availability zone is preferred.
 func (p *Policy) choose(now time.Duration, it *item) *endpoint {
 	var depths []uint8
 	if !p.Off.Affinity && len(it.req.Blocks) > 0 {
 		depths = p.cache.match(it.req.Blocks)
 	}
+	p.matched = depths != nil
 	var best, near *endpoint
 	least, leastNear := math.Inf(1), math.Inf(1)
 	n := len(p.endpoints)
@@ -53,7 +46,7 @@
 		if used >= slots || !p.eligible(it, e) || it.req.Suspect && e.suspects > 0 {
 			continue
 		}
-		cost := p.cost(it, e, used, slots, depths)
+		cost := p.cost(now, it, e, used, slots, depths)
 		if cost < least {
 			best, least = e, cost
 		}
@@ -64,29 +57,35 @@
 	if best != nil {
 		p.rotation = (p.rotation + 1) % n
 	}
-	if near != nil && !p.Off.Zones && leastNear <= least*(1+p.ZoneTie) {
+	if near != nil && !p.Off.Zones && leastNear <= least+p.ZoneTie {
 		return near
 	}
 	return best
 }
 
-// cost returns what running a request on an endpoint costs in time to the first token.
-func (p *Policy) cost(it *item, e *endpoint, used, slots int, depths []uint8) float64 {
-	first := 1.0
-	if own, all := e.first.Value(), p.first.Value(); own > 0 && all > 0 {
-		first = own / all
-	}
-	cost := first * (idleCost + float64(used)/float64(slots))
-	if depths != nil && depths[e.index] > 0 && p.belowBound(used, slots) {
-		cached := float64(depths[e.index]) / float64(min(len(it.req.Blocks), maxPrefixBlocks))
-		cost *= 1 - cacheGain*cached
+// cost returns what running a request on an endpoint costs: the expected time to the first token in
+// proportion to its target, and the relative load, which slows down all tokens.
+func (p *Policy) cost(now time.Duration, it *item, e *endpoint, used, slots int, depths []uint8) float64 {
+	var held uint8
+	if depths != nil && p.belowBound(used, slots) {
+		held = depths[e.index]
 	}
+	first := e.backlog(now) + time.Duration(uncached(it, held))*p.perToken
+	cost := float64(first)/float64(it.class.firstTokenScale()) + float64(used)/float64(slots)
 	if it.req.AvoidZone != "" && e.Zone == it.req.AvoidZone {
-		cost *= avoidZoneCost
+		cost += avoidZoneCost
 	}
 	return cost
 }
 
+// held returns the number of leading blocks that an endpoint holds according to the last match.
+func (p *Policy) held(it *item, e *endpoint) uint8 {
+	if p.Off.Affinity || len(it.req.Blocks) == 0 || !p.matched {
+		return 0
+	}
+	return p.cache.depths[e.index]
+}
+
 // belowBound says whether one more request keeps an endpoint's load within the bound above the
 // mean, each endpoint's share of the mean being in proportion to its slots.
 func (p *Policy) belowBound(used, slots int) bool {
--- a/modules/policy/tiered/class.go
+++ b/modules/policy/tiered/class.go
@@ -16,6 +16,8 @@
 	waiting int
 	running int
 	shed    uint64
+	// lastShed is the time of the last shed.
+	lastShed time.Duration
 	// virtual is the virtual time of fair queueing: the largest tag that was granted.
 	virtual float64
 	// lastGrant is the time of the last grant, at first of the class's creation.
@@ -28,6 +30,8 @@
 	// passedOver is the last submission at the time when a lower tier was granted a slot that a
 	// waiting request of this class could have had.
 	passedOver uint64
+	// lastBeyond is the last submission at the time of the last grant beyond the floor.
+	lastBeyond uint64
 	// runningHead is the latest grant of a list of running requests; preempting counts those with a
 	// Preempt decision.
 	runningHead *item
--- a/modules/policy/tiered/doc.go
+++ b/modules/policy/tiered/doc.go
@@ -25,28 +25,29 @@
 // floor has slots, and at least one is always counted. It waits for a slot that other tiers have
 // no claim to. From this follow the two rules:
 //
-//   - Tiers. When a request is shed because of the length of the queue, every request of a lower
-//     tier that waits, waits within its floor. When a request is shed for any reason, or
-//     preempted, no request of a lower tier was granted, beyond its floor, a slot that this
-//     request could have had since it was submitted. A request is preempted only for a higher
-//     tier, and only if nothing of a tier below its own runs beyond its floor that could be
-//     preempted instead. Status.TierViolations counts the decisions that break this rule; they
-//     are checked from the queues, apart from the code that orders requests.
+//   - Tiers. A request is shed early, because of its predicted wait, only if no request of a lower
+//     tier waits. At the hard bound of the queue, which only protects the memory, those that wait
+//     within their floor do not count. When a request is shed for any reason, no request of a lower
+//     tier was granted, beyond its floor, a slot that this request could have had since it was
+//     submitted. A running request is preempted only for a higher tier, and only if no request of a
+//     tier below its own waits or was granted beyond its floor since it was submitted.
+//     Status.TierViolations counts the decisions that break this rule; they are checked from the
+//     queues, apart from the code that orders requests.
 //   - Floors. A class with waiting requests that can run somewhere has its share of the slots
 //     running, or gets one of the next slots that become free, at the latest when its floor
 //     window has passed. Admission by predicted wait and the hard bound of the queue never take
 //     the requests that wait within the floor. A longer burst of a higher tier changes nothing.
 //
-// While requests of a lower tier wait beyond their floor, a request of a higher tier is therefore
-// not shed early. It goes first in the order, and if it cannot start in time nevertheless, it is
-// refused as expired.
+// While requests of a lower tier wait, a request of a higher tier is therefore not shed early. It
+// goes first in the order, and if it cannot start in time nevertheless, it is refused as expired.
 //
 // # Endpoints
 //
 // Slots per endpoint follow the measured time between tokens by additive increase and
-// multiplicative decrease. The endpoint with the least expected time to the first token is chosen,
-// less for cached prefix blocks while its load stays within a bound above the mean. Stragglers and
-// crashed endpoints are left out as package health says.
+// multiplicative decrease. The endpoint is chosen by the expected time to the first token, which
+// follows from the prompts sent there and not yet processed and from the cached blocks, and by the
+// relative load. Cached blocks count while the load stays within a bound above the mean. Stragglers
+// and crashed endpoints are left out as package health says.
 //
 // # Cost
 //
--- a/modules/policy/tiered/endpoint.go
+++ b/modules/policy/tiered/endpoint.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/chivewind/chivewind/internal/estimate"
 	"github.com/chivewind/chivewind/internal/health"
 	"github.com/chivewind/chivewind/policy"
 )
@@ -22,10 +21,12 @@
 	suspects int
 	health   *health.Endpoint
 	pace     pace
-	first    estimate.Average
-	load     load
-	ring     blockRing
-	sequence uint64
+	// prefillUntil is when the prompts sent are expected to be processed, prefilling their number.
+	prefillUntil time.Duration
+	prefilling   int
+	load         load
+	ring         blockRing
+	sequence     uint64
 }
 
 // loadEvent is a start (+1) or an end (-1) of an attempt.
--- a/modules/policy/tiered/item.go
+++ b/modules/policy/tiered/item.go
@@ -53,10 +53,13 @@
 	progressAt time.Duration
 	checkedAt  time.Duration
 	tokens     int
+	// uncached is the number of prompt tokens to process, prefill the expected time for them, and
+	// backlog the expected time for earlier prompts when the request was sent.
+	uncached int
+	prefill  time.Duration
+	backlog  time.Duration
 	// floor says that the class was within its floor when the request was granted.
 	floor bool
-	// passedOver says that a lower tier was granted a slot before this request.
-	passedOver bool
 	// preempting says that a Preempt decision was made.
 	preempting bool
 }
--- a/modules/policy/tiered/late.go
+++ b/modules/policy/tiered/late.go
@@ -9,7 +9,7 @@
 const (
 	// firstTokenQuantile and totalQuantile are the quantiles of the predicted times that a request
 	// must have left to count as feasible. The first token is predicted well, the length is not.
-	firstTokenQuantile = 0.9
+	firstTokenQuantile = 0.95
 	totalQuantile      = 0.75
 	// maxPredictedPart is the largest part of a target that a prediction may claim. A request that
 	// has just arrived can always start when a slot is free, so that a wrong prediction is corrected
@@ -22,7 +22,7 @@
 // schedule sets the times that follow from the class's targets and the request's deadline.
 func (p *Policy) schedule(it *item) {
 	c, r := it.class, it.req
-	it.kept = r.ResumedTokens > 0 || r.WasPreempted
+	it.kept = r.ResumedTokens > 0 || r.WasPreempted || r.Suspect || len(r.Avoid) > 0
 	it.late = c.Late
 	switch {
 	case it.kept || p.Off.Late:
--- a/modules/policy/tiered/limit.go
+++ b/modules/policy/tiered/limit.go
@@ -51,7 +51,7 @@
 }
 
 // tickLimit changes an endpoint's slots once per interval: by one up when they were all in use and
-// tokens arrived in time, by a factor down when tokens arrived too slowly.
+// tokens arrived in time, in proportion down when tokens arrived too slowly.
 func (p *Policy) tickLimit(now time.Duration, e *endpoint) {
 	l := &e.pace
 	if now < l.tickAt {
@@ -66,7 +66,11 @@
 	case l.target > 0 && between > allowed || l.queued >= 2:
 		// An endpoint that still has more attempts than slots has not yet reacted.
 		if e.running <= int(l.limit) {
-			l.limit = p.LimitDecrease * min(l.limit, float64(max(1, e.running)))
+			factor := p.LimitDecrease
+			if l.queued < 2 {
+				factor = max(factor, float64(allowed)/float64(between))
+			}
+			l.limit = factor * min(l.limit, float64(max(1, e.running)))
 			l.tuned = true
 		}
 	case l.busy && l.tuned:
--- a/modules/policy/tiered/policy.go
+++ b/modules/policy/tiered/policy.go
@@ -50,10 +50,14 @@
 	// paced says that a class has a target for the time between tokens.
 	paced bool
 	// capacity is the number of slots of all open endpoints, free the unused ones.
-	capacity   int
-	free       int
-	rotation   int
-	first      estimate.Average
+	capacity int
+	free     int
+	rotation int
+	// matched says that the last choice found cached blocks.
+	matched bool
+	prefill prefillModel
+	// perToken is the expected time per prompt token.
+	perToken   time.Duration
 	preempting int
 	trimAt     time.Duration
 	tickAt     time.Duration
@@ -132,7 +136,9 @@
 	}
 	it := p.newItem(r, p.classFor(now, r.Class))
 	it.submittedAt, it.tokens, it.progressAt = now, tokens, now
-	p.start(now, it, p.endpointFor(endpoint))
+	e := p.endpointFor(endpoint)
+	p.start(now, it, e)
+	p.startPrefill(now, it, e, 0)
 }
 
 // Status implements policy.Policy.
--- a/modules/policy/tiered/preempt.go
+++ b/modules/policy/tiered/preempt.go
@@ -9,6 +9,11 @@
 const (
 	// preemptScan bounds the running requests of a class that are considered as victims.
 	preemptScan = 64
+	// overloadMemory is how long after a shed a tier counts as overloaded.
+	overloadMemory = 5 * time.Second
+	// prefillLoss is the part of their time that the other attempts on an endpoint lose while a prompt
+	// is processed. Preemption must gain more slot time than it costs.
+	prefillLoss = 0.5
 	// preemptCost is the time from the decision until the slot is free.
 	preemptCost = 10 * time.Millisecond
 )
@@ -20,6 +25,9 @@
 		if it == nil || it.endpoint != nil || it.demoted {
 			continue
 		}
+		if p.overloaded(now, it.class.tier()) {
+			continue
+		}
 		slack := it.latest - now - preemptCost
 		if slack <= 0 {
 			continue // The target is lost already.
@@ -46,6 +54,18 @@
 	return dst
 }
 
+// overloaded says whether requests of a tier or a higher one were shed lately. Then a slot taken from
+// lower tiers saves no target: it only changes which request is shed, while the victim's prompt has
+// to be processed again.
+func (p *Policy) overloaded(now time.Duration, tier int) bool {
+	for _, c := range p.classes {
+		if c.tier() <= tier && c.shed > 0 && now-c.lastShed < overloadMemory {
+			return true
+		}
+	}
+	return false
+}
+
 // slotsSoon says whether enough slots are expected to become free within a time for all requests
 // of higher tiers and the urgent ones of its own.
 func (p *Policy) slotsSoon(it *item, within time.Duration) bool {
@@ -70,7 +90,7 @@
 func (p *Policy) victim(beneficiary *item) *item {
 	var best *item
 	for _, c := range p.classes {
-		if c.tier() <= beneficiary.class.tier() || best != nil && c.Tier < best.class.Tier {
+		if c.tier() <= beneficiary.class.tier() || best != nil && c.Tier < best.class.Tier || p.lowerWaits(c.Tier, false) {
 			continue
 		}
 		v := p.victimIn(c, beneficiary)
@@ -81,8 +101,15 @@
 	return best
 }
 
+// restartCost returns the time that other attempts on the endpoint lose when a preempted request is
+// run again: its prompt and its tokens have to be processed once more.
+func (p *Policy) restartCost(it *item) time.Duration {
+	prefill := time.Duration(it.req.PromptTokens+it.tokens) * p.perToken
+	return time.Duration(prefillLoss * float64(prefill) * float64(it.endpoint.running))
+}
+
 // victimIn returns the best victim of a class among its latest grants. Requests within the floor,
-// requests that were preempted before, and requests that end soon are spared.
+// requests that were preempted before, and requests that end before a restart would pay are spared.
 func (p *Policy) victimIn(c *class, beneficiary *item) *item {
 	if c.running-c.preempting <= c.floorSlots {
 		return nil
@@ -92,13 +119,14 @@
 	for it := c.runningHead; it != nil && scanned < preemptScan; it = it.next {
 		scanned++
 		e := it.endpoint
-		if it.preempting || it.floor || it.req.WasPreempted || !p.open(e) || !p.eligible(beneficiary, e) {
+		if it.preempting || it.floor || it.req.WasPreempted || !p.open(e) || !p.eligible(beneficiary, e) || p.lowerGranted(it) {
 			continue
 		}
 		if best != nil && it.tokens >= best.tokens {
 			continue
 		}
-		if rest := it.series.Rest(it.tokens, it.req.MaxTokens, p.now-it.grantedAt); rest > p.PreemptMinRest {
+		rest := it.series.Rest(it.tokens, it.req.MaxTokens, p.now-it.grantedAt)
+		if rest > max(p.PreemptMinRest, p.restartCost(it)) {
 			best = it
 		}
 	}
--- a/modules/policy/tiered/running.go
+++ b/modules/policy/tiered/running.go
@@ -47,6 +47,8 @@
 	}
 	if it.firstAt > 0 {
 		e.health.Ended()
+	} else {
+		p.endPrefill(now, it, false)
 	}
 	e.load.event(now, -1)
 	p.freeItem(it)
@@ -69,9 +71,15 @@
 		it.firstAt = max(1, it.grantedAt+firstToken)
 		it.progressAt = max(it.progressAt, it.firstAt)
 		it.tokens = max(it.tokens, 1)
+		if it.tokens == 1 && tokens > it.req.ResumedTokens {
+			// The tokens that the caller already had were not generated now.
+			it.tokens += it.req.ResumedTokens
+		}
 		it.series.FirstToken(firstToken)
-		e.first.Add(firstToken.Seconds())
-		p.first.Add(firstToken.Seconds())
+		if it.backlog < idleBacklog && it.uncached > 0 {
+			p.prefill.add(it.uncached, firstToken)
+		}
+		p.endPrefill(now, it, true)
 		e.health.FirstToken(now)
 	}
 	more, spent := tokens-it.tokens, now-it.progressAt
--- a/modules/policy/tiered/settings.go
+++ b/modules/policy/tiered/settings.go
@@ -17,12 +17,14 @@
 	InitialSlots int `yaml:"initial_slots"`
 	// LimitInterval is the time between two changes of an endpoint's slots. Default 1s.
 	LimitInterval time.Duration `yaml:"limit_interval"`
-	// LimitDecrease is the factor for an endpoint's slots when tokens arrive too slowly. Default 0.9.
+	// LimitDecrease is the smallest factor by which an endpoint's slots are reduced when tokens
+	// arrive too slowly. Default 0.9.
 	LimitDecrease float64 `yaml:"limit_decrease"`
 	// AffinityBound is the load, as a multiple of the mean, up to which an endpoint is preferred
 	// for its cached prefix. Default 1.25.
 	AffinityBound float64 `yaml:"affinity_bound"`
-	// ZoneTie is the relative difference of cost below which the availability zone decides.
+	// ZoneTie is the difference of cost below which the availability zone decides. The cost is the
+	// relative load plus the expected time to the first token in proportion to its target.
 	// Default 0.05.
 	ZoneTie float64 `yaml:"zone_tie"`
 	// CacheBlocks is the number of prefix blocks tracked for an endpoint that does not state the
--- a/modules/policy/tiered/step.go
+++ b/modules/policy/tiered/step.go
@@ -57,6 +57,7 @@
 // measureCapacity counts slots and derives the floors from them.
 func (p *Policy) measureCapacity(now time.Duration) {
 	p.capacity, p.free = 0, 0
+	p.perToken = p.prefill.perToken()
 	for _, e := range p.endpoints {
 		if !p.open(e) {
 			continue
@@ -101,7 +102,6 @@
 func (p *Policy) grant(now time.Duration, it *item, e *endpoint) policy.Decision {
 	c := it.class
 	it.floor = c.withinFloor(now)
-	it.passedOver = it.seq <= c.passedOver
 	it.lane.take(it, true)
 	if !it.floor {
 		p.noteGrant(it, e)
@@ -110,8 +110,12 @@
 		p.timers.remove(it)
 	}
 	p.start(now, it, e)
+	p.startPrefill(now, it, e, uncached(it, p.held(it, e)))
 	c.lastGrant = now
 	p.free--
+	if e.running >= p.slots(e) {
+		e.pace.busy = true
+	}
 	if !p.Off.Affinity {
 		for i, block := range it.req.Blocks {
 			if i == maxPrefixBlocks {
--- a/modules/policy/tiered/switch.go
+++ b/modules/policy/tiered/switch.go
@@ -61,7 +61,7 @@
 // reschedule applies a class's new settings to its waiting requests.
 func (p *Policy) reschedule(now time.Duration, c *class) {
 	// The tier rule starts anew, since grants before the switch followed the old tiers.
-	c.passedOver = 0
+	c.passedOver, c.lastBeyond = 0, 0
 	var demoted []*item
 	for _, l := range c.lanes {
 		l.each(func(it *item) {
