--- a/modules/policy/tiered/bench_test.go
+++ b/modules/policy/tiered/bench_test.go
@@ -33,7 +33,7 @@
 		list = append(list, policy.Endpoint{ID: fmt.Sprintf("e%03d", i), Zone: fmt.Sprintf("z%d", i%7), MaxSlots: 16})
 	}
 	s.p.SetEndpoints(0, list)
-	s.requests = make([]policy.Request, 4*(waiting+16*endpoints))
+	s.requests = make([]policy.Request, 4*(max(0, waiting)+16*endpoints))
 	for i := range s.requests {
 		r := &s.requests[i]
 		r.ID = policy.AttemptID{Request: fmt.Sprintf("request-%08d", i), Number: 1}
@@ -89,6 +89,8 @@
 	for _, size := range [][3]int{
 		{8, 8500, 100}, {20, 10, 100}, {20, 10, 10000}, {200, 1000, 100},
 		{200, 1000, 10000}, {600, 8500, 100}, {600, 8500, 10000},
+		// Half of the slots are free, so that a choice considers all endpoints.
+		{600, 8500, -4800},
 	} {
 		b.Run(fmt.Sprintf("endpoints=%d/workspaces=%d/waiting=%d", size[0], size[1], size[2]), func(b *testing.B) {
 			s := newBenchShard(size[0], size[1], size[2])
--- a/modules/policy/tiered/choose.go
+++ b/modules/policy/tiered/choose.go
@@ -10,6 +10,12 @@
 // other endpoint has a free slot.
 const avoidZoneCost = 1e6
 
+// candidate is an endpoint with free slots.
+type candidate struct {
+	endpoint    *endpoint
+	used, slots int
+}
+
 // eligible says whether a request may run on an endpoint at all.
 func (p *Policy) eligible(it *item, e *endpoint) bool {
 	r := it.req
@@ -22,42 +28,38 @@
 	return len(r.Avoid) == 0 || !slices.Contains(r.Avoid, e.ID)
 }
 
-// choose returns the endpoint with a free slot and the least cost for a request, nil when there is
-// none. On a near tie an endpoint in the request's availability zone is preferred.
-func (p *Policy) choose(now time.Duration, it *item) *endpoint {
+// choose returns the index of the candidate with the least cost for a request, -1 when none can run
+// it. On a near tie an endpoint in the request's availability zone is preferred.
+func (p *Policy) choose(now time.Duration, it *item) int {
 	var depths []uint8
 	if !p.Off.Affinity && len(it.req.Blocks) > 0 {
 		depths = p.cache.match(it.req.Blocks)
 	}
 	p.matched = depths != nil
-	var best, near *endpoint
+	best, near := -1, -1
 	least, leastNear := math.Inf(1), math.Inf(1)
-	n := len(p.endpoints)
+	n := len(p.candidates)
+	first := p.rotation % max(n, 1)
 	for i := range n {
-		at := i + p.rotation
+		at := i + first
 		if at >= n {
 			at -= n
 		}
-		e := p.endpoints[at]
-		if !p.open(e) {
+		c := &p.candidates[at]
+		e := c.endpoint
+		if !p.eligible(it, e) || it.req.Suspect && e.suspects > 0 {
 			continue
 		}
-		used, slots := p.used(e, now), p.slots(e)
-		if used >= slots || !p.eligible(it, e) || it.req.Suspect && e.suspects > 0 {
-			continue
-		}
-		cost := p.cost(now, it, e, used, slots, depths)
+		cost := p.cost(now, it, c, depths)
 		if cost < least {
-			best, least = e, cost
+			best, least = at, cost
 		}
 		if e.Zone == it.req.Zone && cost < leastNear {
-			near, leastNear = e, cost
+			near, leastNear = at, cost
 		}
 	}
-	if best != nil {
-		p.rotation = (p.rotation + 1) % n
-	}
-	if near != nil && !p.Off.Zones && leastNear <= least+p.ZoneTie {
+	p.rotation++
+	if near >= 0 && !p.Off.Zones && leastNear <= least+p.ZoneTie {
 		return near
 	}
 	return best
@@ -65,13 +67,14 @@
 
 // cost returns what running a request on an endpoint costs: the expected time to the first token in
 // proportion to its target, and the relative load, which slows down all tokens.
-func (p *Policy) cost(now time.Duration, it *item, e *endpoint, used, slots int, depths []uint8) float64 {
+func (p *Policy) cost(now time.Duration, it *item, c *candidate, depths []uint8) float64 {
+	e := c.endpoint
 	var held uint8
-	if depths != nil && p.belowBound(used, slots) {
+	if depths != nil && p.belowBound(c.used, c.slots) {
 		held = depths[e.index]
 	}
 	first := e.backlog(now) + time.Duration(uncached(it, held))*p.perToken
-	cost := float64(first)/float64(it.class.firstTokenScale()) + float64(used)/float64(slots)
+	cost := float64(first)/float64(it.class.firstTokenScale()) + float64(c.used)/float64(c.slots)
 	if it.req.AvoidZone != "" && e.Zone == it.req.AvoidZone {
 		cost += avoidZoneCost
 	}
--- a/modules/policy/tiered/endpoint.go
+++ b/modules/policy/tiered/endpoint.go
@@ -84,16 +84,7 @@
 	if !e.known || e.Draining {
 		return false
 	}
-	if p.Off.Health {
-		return true
-	}
-	switch e.health.State() {
-	case health.Ejected:
-		return false
-	case health.Trial:
-		return e.running == 0
-	}
-	return true
+	return p.Off.Health || e.health.State() != health.Ejected
 }
 
 // SetEndpoints implements policy.Policy.
@@ -169,7 +160,6 @@
 	}
 	clear(p.endpoints[len(kept):])
 	p.endpoints = kept
-	p.rotation = 0
 }
 
 // Report implements policy.Policy.
--- a/modules/policy/tiered/limit.go
+++ b/modules/policy/tiered/limit.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/chivewind/chivewind/internal/health"
 )
 
 const (
@@ -40,6 +42,9 @@
 
 // slots returns the number of attempts that may run at once.
 func (p *Policy) slots(e *endpoint) int {
+	if !p.Off.Health && e.health.State() == health.Trial {
+		return 1
+	}
 	slots := float64(e.MaxSlots)
 	if !p.Off.Limits && p.paced {
 		slots = e.pace.limit
--- a/modules/policy/tiered/policy.go
+++ b/modules/policy/tiered/policy.go
@@ -52,7 +52,9 @@
 	// capacity is the number of slots of all open endpoints, free the unused ones.
 	capacity int
 	free     int
-	rotation int
+	// candidates are the open endpoints with free slots in this step.
+	candidates []candidate
+	rotation   int
 	// matched says that the last choice found cached blocks.
 	matched bool
 	prefill prefillModel
--- a/modules/policy/tiered/step.go
+++ b/modules/policy/tiered/step.go
@@ -57,6 +57,7 @@
 // measureCapacity counts slots and derives the floors from them.
 func (p *Policy) measureCapacity(now time.Duration) {
 	p.capacity, p.free = 0, 0
+	p.candidates = p.candidates[:0]
 	p.perToken = p.prefill.perToken()
 	for _, e := range p.endpoints {
 		if !p.open(e) {
@@ -66,6 +67,7 @@
 		p.capacity += slots
 		if used < slots {
 			p.free += slots - used
+			p.candidates = append(p.candidates, candidate{endpoint: e, used: used, slots: slots})
 		} else {
 			e.pace.busy = true
 		}
@@ -89,16 +91,32 @@
 		if it == nil {
 			break
 		}
-		e := p.choose(now, it)
-		if e == nil {
+		i := p.choose(now, it)
+		if i < 0 {
 			it.lane.blocked = p.pass
 			continue
 		}
+		e := p.candidates[i].endpoint
+		p.take(i)
 		dst = append(dst, p.grant(now, it, e))
 	}
 	return dst
 }
 
+// take uses a slot of a candidate, which leaves the list with its last one.
+func (p *Policy) take(i int) {
+	c := &p.candidates[i]
+	p.free--
+	c.used++
+	if c.used < c.slots {
+		return
+	}
+	c.endpoint.pace.busy = true
+	last := len(p.candidates) - 1
+	p.candidates[i] = p.candidates[last]
+	p.candidates = p.candidates[:last]
+}
+
 func (p *Policy) grant(now time.Duration, it *item, e *endpoint) policy.Decision {
 	c := it.class
 	it.floor = c.withinFloor(now)
@@ -112,10 +130,6 @@
 	p.start(now, it, e)
 	p.startPrefill(now, it, e, uncached(it, p.held(it, e)))
 	c.lastGrant = now
-	p.free--
-	if e.running >= p.slots(e) {
-		e.pace.busy = true
-	}
 	if !p.Off.Affinity {
 		for i, block := range it.req.Blocks {
 			if i == maxPrefixBlocks {
