Bound the queues of demoted and served classes by time

Cause: the queue of a class whose late requests are demoted or served had only the hard bound. An endpoint that refused a request got the next one at once.

Change: setting late_bound (3) sheds early when the predicted wait exceeds that multiple of the target; an endpoint that refused receives nothing for 200 ms.

--- a/modules/policy/tiered/admit.go
+++ b/modules/policy/tiered/admit.go
@@ -59,15 +59,15 @@
 	return t
 }
 
-// admissible says whether the last request of a flow is expected to start before it expires.
+// admissible says whether the last request of a flow is expected to start while it is useful.
 func (p *Policy) admissible(now time.Duration, it *item) bool {
-	if p.Off.Admission || it.kept || it.expiry == never {
+	if p.Off.Admission || it.kept || it.admitBy == never {
 		return true
 	}
 	c, f := it.class, it.flow
 	// Between two requests of this workspace the others get their shares.
 	ahead := min(float64(c.waiting-1), float64(f.waiting-1)*max(1, c.activeWeight/f.weight))
-	allowed := waitTolerance*float64(it.expiry-now) + float64(waitMargin)
+	allowed := waitTolerance*float64(it.admitBy-now) + float64(waitMargin)
 	return float64(p.predictWait(c, ahead)) <= allowed
 }
 
--- a/modules/policy/tiered/endpoint.go
+++ b/modules/policy/tiered/endpoint.go
@@ -19,8 +19,10 @@
 	known    bool
 	running  int
 	suspects int
-	health   *health.Endpoint
-	pace     pace
+	// backoffUntil is when the endpoint may receive work again after a refusal.
+	backoffUntil time.Duration
+	health       *health.Endpoint
+	pace         pace
 	// prefillUntil is when the prompts sent are expected to be processed, prefilling their number.
 	prefillUntil time.Duration
 	prefilling   int
@@ -29,6 +31,9 @@
 	sequence     uint64
 }
 
+// refusedBackoff is how long an endpoint that refused a request receives no other.
+const refusedBackoff = 200 * time.Millisecond
+
 // loadEvent is a start (+1) or an end (-1) of an attempt.
 type loadEvent struct {
 	at     time.Duration
@@ -84,6 +89,9 @@
 	if !e.known || e.Draining {
 		return false
 	}
+	if p.now < e.backoffUntil {
+		return false
+	}
 	return p.Off.Health || e.health.State() != health.Ejected
 }
 
--- a/modules/policy/tiered/item.go
+++ b/modules/policy/tiered/item.go
@@ -29,6 +29,8 @@
 	latest time.Duration
 	// expiry is when the request is refused because it is useless.
 	expiry time.Duration
+	// admitBy is the latest predicted start for which the request may stay in the queue.
+	admitBy time.Duration
 	// demoteAt is when the request goes behind the feasible ones of its tier.
 	demoteAt time.Duration
 	// preemptAt is when the request may next preempt.
--- a/modules/policy/tiered/late.go
+++ b/modules/policy/tiered/late.go
@@ -45,6 +45,11 @@
 	if c.MaxWait > 0 && !it.kept {
 		it.expiry = min(it.expiry, r.Arrival+c.MaxWait)
 	}
+	it.admitBy = it.expiry
+	if it.late != policy.LateShed && c.MaxWait == 0 && it.latest != never {
+		bound := time.Duration(p.LateBound * float64(it.latest-r.Arrival))
+		it.admitBy = min(it.admitBy, r.Arrival+bound)
+	}
 	if it.latest == never {
 		it.latest = r.Arrival + defaultTarget
 	}
--- a/modules/policy/tiered/policy.go
+++ b/modules/policy/tiered/policy.go
@@ -63,6 +63,8 @@
 	preempting int
 	trimAt     time.Duration
 	tickAt     time.Duration
+	// wakeAt is when the last endpoint that refused a request may receive work again.
+	wakeAt     time.Duration
 	violations int
 
 	// unused says that a class that is not in the settings has lost its last request.
--- a/modules/policy/tiered/running.go
+++ b/modules/policy/tiered/running.go
@@ -120,6 +120,8 @@
 		p.health.Failed(now, e.health)
 	case policy.Refused:
 		// The endpoint has fewer slots than assumed.
+		e.backoffUntil = now + refusedBackoff
+		p.wakeAt = e.backoffUntil
 		e.pace.limit = max(float64(e.MinSlots), min(e.pace.limit, float64(e.running-1)))
 		e.pace.tuned = true
 	}
--- a/modules/policy/tiered/settings.go
+++ b/modules/policy/tiered/settings.go
@@ -32,6 +32,9 @@
 	CacheBlocks int `yaml:"cache_blocks"`
 	// MaxCacheBlocks bounds the blocks tracked for all endpoints together. Default 65536.
 	MaxCacheBlocks int `yaml:"max_cache_blocks"`
+	// LateBound bounds the queue of classes whose late requests are demoted or served: a request is
+	// shed early when its predicted wait exceeds this multiple of its target. Default 3.
+	LateBound float64 `yaml:"late_bound"`
 	// ReportMaxAge is the age from which a load report is ignored. Default 5s.
 	ReportMaxAge time.Duration `yaml:"report_max_age"`
 	// PreemptLead is how long before its latest start a request may preempt. Default 200ms.
@@ -84,6 +87,7 @@
 		ZoneTie:        0.05,
 		CacheBlocks:    2048,
 		MaxCacheBlocks: 65536,
+		LateBound:      3,
 		ReportMaxAge:   5 * time.Second,
 		PreemptLead:    200 * time.Millisecond,
 		PreemptMinRest: time.Second,
@@ -104,8 +108,8 @@
 		return errors.New("cache_blocks and max_cache_blocks must not be negative")
 	case s.LimitDecrease <= 0 || s.LimitDecrease >= 1:
 		return errors.New("limit_decrease must be between 0 and 1")
-	case s.AffinityBound < 1 || s.ZoneTie < 0:
-		return errors.New("affinity_bound must be at least 1 and zone_tie not negative")
+	case s.AffinityBound < 1 || s.LateBound < 1 || s.ZoneTie < 0:
+		return errors.New("affinity_bound and late_bound must be at least 1 and zone_tie not negative")
 	}
 	return nil
 }
--- a/modules/policy/tiered/step.go
+++ b/modules/policy/tiered/step.go
@@ -34,6 +34,9 @@
 		return 0
 	}
 	next := p.tickAt
+	if p.wakeAt > p.now {
+		next = min(next, p.wakeAt)
+	}
 	if len(p.timers) > 0 {
 		next = min(next, p.timers[0].timer)
 	}
