--- a/modules/policy/tiered/guarantee_test.go
+++ b/modules/policy/tiered/guarantee_test.go
@@ -85,9 +85,9 @@
 		{Name: "batch", Tier: 3, Total: 24 * time.Hour, Late: policy.LateServe, Floor: 0.25},
 	}, []policy.Endpoint{{ID: "e1", MaxSlots: 4}, {ID: "e2", MaxSlots: 4}})
 	r.service = map[string]time.Duration{"quick": 2 * time.Second, "read": 5 * time.Second, "batch": 20 * time.Second}
-	for r.now = 0; r.now < 24*time.Hour; r.now += 500 * time.Millisecond {
-		// 8 slots serve 4 quick requests a second; 6 arrive.
-		for range 3 {
+	for r.now = 0; r.now < 24*time.Hour; r.now += time.Second {
+		// 8 slots serve 4 quick requests a second.
+		for range 6 {
 			r.submit("quick", "w")
 		}
 		if r.now%(10*time.Second) == 0 {
@@ -99,7 +99,7 @@
 	if n := r.p.Status(r.now).TierViolations; n != 0 {
 		t.Errorf("%d violations of the tier rule", n)
 	}
-	// A slot becomes free about every 0.3 s, so that a floor is late by no more than a second.
+	// Slots become free each second, so that a floor is late by no more than a second.
 	if gap := r.longestGap["read"]; gap > 31*time.Second {
 		t.Errorf("%s without a grant of read", gap)
 	}
--- a/modules/policy/tiered/late.go
+++ b/modules/policy/tiered/late.go
@@ -158,12 +158,13 @@
 			ok := p.servable(first)
 			l.each(func(it *item) {
 				switch {
-				case ok:
+				case ok && it.stranded > 0:
 					it.stranded = 0
-				case it.stranded == 0:
+					p.setTimer(it)
+				case !ok && it.stranded == 0:
 					it.stranded = now + p.NoEndpointWait
+					p.setTimer(it)
 				}
-				p.setTimer(it)
 			})
 		}
 	}
--- a/modules/policy/tiered/limit.go
+++ b/modules/policy/tiered/limit.go
@@ -21,6 +21,9 @@
 	// tuned says that the limit was reduced once, so that it grows by one slot per interval.
 	tuned  bool
 	tickAt time.Duration
+	// measured says that the time between tokens was ever known. Without it, as with plain services,
+	// the slots grow while they are all in use.
+	measured bool
 	// spent and tokens accumulate the progress of the interval.
 	spent  time.Duration
 	tokens int
@@ -66,6 +69,7 @@
 	if l.tokens > 0 {
 		between = l.spent / time.Duration(l.tokens)
 	}
+	l.measured = l.measured || between > 0
 	allowed := time.Duration(limitMargin * float64(l.target))
 	switch {
 	case l.target > 0 && between > allowed || l.queued >= 2:
@@ -78,6 +82,8 @@
 			l.limit = factor * min(l.limit, float64(max(1, e.running)))
 			l.tuned = true
 		}
+	case l.measured && between == 0:
+		// Nothing is known of this interval.
 	case l.busy && l.tuned:
 		l.limit++
 	case l.busy:
--- a/modules/policy/tiered/preempt.go
+++ b/modules/policy/tiered/preempt.go
@@ -40,6 +40,10 @@
 		}
 		victim := p.victim(it)
 		if victim == nil {
+			if !it.single() {
+				// The others will hardly find one either, and many searches would delay decisions.
+				break
+			}
 			continue
 		}
 		if p.breaksPreemptRule(victim, it) {
