Weigh a request's own prompt more than the wait for others

Cause: with long shared prefixes the cached endpoint was often not chosen, although processing a prompt again delays all attempts of an endpoint.

Change: the time for the uncached part of the request's own prompt counts eight times in the cost of an endpoint.

--- a/modules/policy/tiered/choose.go
+++ b/modules/policy/tiered/choose.go
@@ -10,6 +10,10 @@
 // other endpoint has a free slot.
 const avoidZoneCost = 1e6
 
+// prefillWeight multiplies the time for the request's own prompt, since processing it delays all
+// attempts on the endpoint, while the backlog delays only this one.
+const prefillWeight = 8
+
 // candidate is an endpoint with free slots.
 type candidate struct {
 	endpoint    *endpoint
@@ -73,7 +77,7 @@
 	if depths != nil && p.belowBound(c.used, c.slots) {
 		held = depths[e.index]
 	}
-	first := e.backlog(now) + time.Duration(uncached(it, held))*p.perToken
+	first := e.backlog(now) + prefillWeight*time.Duration(uncached(it, held))*p.perToken
 	cost := float64(first)/float64(it.class.firstTokenScale()) + float64(c.used)/float64(c.slots)
 	if it.req.AvoidZone != "" && e.Zone == it.req.AvoidZone {
 		cost += avoidZoneCost
