Keep slots over a change of schedulers; correct the prefill backlog

Cause: a new scheduler began with 16 slots per endpoint and granted nothing while more resumed requests ran. A short answer that ended before its first token was reported reduced the endpoint's backlog by its prompt once too often.

Change: resumed requests raise the slots of their endpoint. A completed request leaves the backlog alone. The property test checks that a class without waiting requests keeps no state of workspaces.

--- a/modules/policy/tiered/endpoint.go
+++ b/modules/policy/tiered/endpoint.go
@@ -106,7 +106,7 @@
 		e := p.endpointFor(settings.ID)
 		e.Endpoint, e.known = settings, true
 		if e.pace.limit == 0 {
-			e.pace.limit = float64(p.InitialSlots)
+			e.pace.limit = max(float64(p.InitialSlots), float64(e.running))
 		}
 		e.pace.limit = min(max(e.pace.limit, float64(e.MinSlots)), float64(e.MaxSlots))
 	}
--- a/modules/policy/tiered/limit.go
+++ b/modules/policy/tiered/limit.go
@@ -58,6 +58,12 @@
 	return max(1, int(slots))
 }
 
+// raiseLimit gives an endpoint at least the slots that it uses. After a change of schedulers the
+// resumed attempts show how many slots the last scheduler had found.
+func (p *Policy) raiseLimit(e *endpoint) {
+	e.pace.limit = min(max(e.pace.limit, float64(e.running)), float64(e.MaxSlots))
+}
+
 // tickLimit changes an endpoint's slots once per interval: by one up when they were all in use and
 // tokens arrived in time, in proportion down when tokens arrived too slowly.
 func (p *Policy) tickLimit(now time.Duration, e *endpoint) {
--- a/modules/policy/tiered/policy.go
+++ b/modules/policy/tiered/policy.go
@@ -143,6 +143,9 @@
 	e := p.endpointFor(endpoint)
 	p.start(now, it, e)
 	p.startPrefill(now, it, e, 0)
+	if e.known {
+		p.raiseLimit(e)
+	}
 }
 
 // Status implements policy.Policy.
--- a/modules/policy/tiered/property_test.go
+++ b/modules/policy/tiered/property_test.go
@@ -185,6 +185,9 @@
 		if c.waiting < 0 || c.running < 0 {
 			m.t.Fatalf("negative counts of class %s", c.Name)
 		}
+		if c.waiting == 0 && len(c.lanes) > 0 {
+			m.t.Fatalf("class %s has state of workspaces without requests", c.Name)
+		}
 		m.floors[c.Name] = c.floorSlots // A request may be shed before the step measures anew.
 	}
 	decisions, next := m.p.Step(m.now, nil)
--- a/modules/policy/tiered/rules_test.go
+++ b/modules/policy/tiered/rules_test.go
@@ -127,20 +127,31 @@
 	now time.Duration
 }
 
+// requests returns the request of a line, or several: "r count=3" stands for r1, r2 and r3.
+func (s *shard) requests(f fields) []*policy.Request {
+	if !f.has("count") {
+		return []*policy.Request{f.request(s.now)}
+	}
+	var list []*policy.Request
+	name := f.name
+	for i := range f.number("count") {
+		f.name = fmt.Sprint(name, i+1)
+		list = append(list, f.request(s.now))
+	}
+	return list
+}
+
 func (s *shard) line(command string, f fields) string {
 	id := policy.AttemptID{Request: f.name, Number: 1}
 	switch command {
 	case "submit":
-		// "r 3" in the table stands for several requests: r1, r2, r3.
-		for i := range f.number("count") {
-			f.name = fmt.Sprint(strings.TrimRight(id.Request, "0123456789"), i+1)
-			s.p.Submit(s.now, f.request(s.now))
-		}
-		if !f.has("count") {
-			s.p.Submit(s.now, f.request(s.now))
+		for _, r := range s.requests(f) {
+			s.p.Submit(s.now, r)
 		}
 	case "resume":
-		s.p.Resume(s.now, f.request(s.now), f.values["endpoint"], f.number("tokens"))
+		for _, r := range s.requests(f) {
+			s.p.Resume(s.now, r, f.values["endpoint"], f.number("tokens"))
+		}
 	case "progress":
 		s.p.Progress(s.now, id, f.number("tokens"), f.duration("first"))
 	case "finish":
--- a/modules/policy/tiered/running.go
+++ b/modules/policy/tiered/running.go
@@ -25,7 +25,7 @@
 }
 
 // stop counts a running request as ended and forgets it.
-func (p *Policy) stop(now time.Duration, it *item) {
+func (p *Policy) stop(now time.Duration, it *item, outcome policy.Outcome) {
 	e, c := it.endpoint, it.class
 	c.running--
 	switch {
@@ -48,7 +48,8 @@
 	if it.firstAt > 0 {
 		e.health.Ended()
 	} else {
-		p.endPrefill(now, it, false)
+		// A short answer may end before its first token was reported.
+		p.endPrefill(now, it, outcome == policy.Completed)
 	}
 	e.load.event(now, -1)
 	p.freeItem(it)
@@ -125,7 +126,7 @@
 		e.pace.limit = max(float64(e.MinSlots), min(e.pace.limit, float64(e.running-1)))
 		e.pace.tuned = true
 	}
-	p.stop(now, it)
+	p.stop(now, it, outcome)
 }
 
 // Cancel implements policy.Policy.
