Add variants of a policy with one mechanism off

Cause: the effect of each mechanism of the tiered policy has to be measured by turning it off.

Change: bench.Ablate builds variants through the policy's own setting off, without importing it.

Conclusion: ablations run side by side with the baselines.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
+	"go.yaml.in/yaml/v3"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chivewind/chivewind"
@@ -148,7 +149,7 @@
 		if _, err := chivewind.Lookup("policy." + name); err != nil {
 			return nil, err
 		}
-		variants = append(variants, variant{name, func() (policy.Policy, error) { return load("policy." + name) }})
+		variants = append(variants, variant{name, func() (policy.Policy, error) { return load("policy."+name, nil) }})
 	}
 	for name, build := range o.Ablation {
 		variants = append(variants, variant{name, func() (policy.Policy, error) { return build(), nil }})
@@ -157,10 +158,33 @@
 	return variants, nil
 }
 
-// load creates a registered policy with its default settings.
-func load(id string) (policy.Policy, error) {
+// Ablate returns variants of a policy with one mechanism off each, for Options.Ablation. The
+// policy must have a setting off with a switch per mechanism. Variants are named like
+// "tiered-affinity".
+func Ablate(id string, mechanisms ...string) (map[string]func() policy.Policy, error) {
+	name := strings.TrimPrefix(id, "policy.")
+	variants := map[string]func() policy.Policy{}
+	for _, mechanism := range mechanisms {
+		var settings yaml.Node
+		if err := settings.Encode(map[string]map[string]bool{"off": {mechanism: true}}); err != nil {
+			return nil, err
+		}
+		if _, err := load("policy."+name, &settings); err != nil {
+			return nil, err
+		}
+		variants[name+"-"+mechanism] = func() policy.Policy {
+			// The same settings were accepted above.
+			p, _ := load("policy."+name, &settings)
+			return p
+		}
+	}
+	return variants, nil
+}
+
+// load creates a registered policy; nil settings are the defaults.
+func load(id string, settings *yaml.Node) (policy.Policy, error) {
 	ctx := &chivewind.Context{Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()}
-	m, err := chivewind.Load(ctx, id, nil)
+	m, err := chivewind.Load(ctx, id, settings)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -109,6 +109,14 @@
 	}
 }
 
+// TestAblateRejects guards against a variant that is the unchanged policy because its switch does
+// not exist.
+func TestAblateRejects(t *testing.T) {
+	if _, err := Ablate("policy.fifo_least", "affinity"); err == nil {
+		t.Error("no error for a policy without switches")
+	}
+}
+
 // TestPoison guards against a request that crashes more than two engines although its caller
 // sends it again.
 func TestPoison(t *testing.T) {
--- a/internal/bench/policies_test.go
+++ b/internal/bench/policies_test.go
@@ -12,6 +12,7 @@
 	seedFlag     = flag.Uint64("seed", 1, "first seed of BenchmarkPolicies")
 	seedsFlag    = flag.Int("seeds", 10, "number of seeds of BenchmarkPolicies")
 	policiesFlag = flag.String("policies", "", "comma-separated policies of BenchmarkPolicies; empty means all")
+	withoutFlag  = flag.String("without", "", "comma-separated mechanisms that variants of the tiered policy turn off")
 	lineFlag     = flag.Bool("line", false, "print results of BenchmarkPolicies as one JSON line each")
 )
 
@@ -22,6 +23,12 @@
 	if *policiesFlag != "" {
 		o.Policies = strings.Split(*policiesFlag, ",")
 	}
+	if *withoutFlag != "" {
+		var err error
+		if o.Ablation, err = Ablate("policy.tiered", strings.Split(*withoutFlag, ",")...); err != nil {
+			b.Fatal(err)
+		}
+	}
 	for _, deployment := range Deployments() {
 		for _, sc := range Scenarios() {
 			b.Run(deployment+"/"+sc.Name, func(b *testing.B) {
