Tighten the bound of goodput in bursts

Change: requests with a target for the first token must have started when a phase of the scenario ends plus the target; after that no more of them run than engines have slots.

Conclusion: the bound remains optimistic, since it fills the slots after a burst with the longest answers.

--- a/internal/bench/bound.go
+++ b/internal/bench/bound.go
@@ -8,20 +8,19 @@
 
 // piece is the work and value of one call for the bound.
 type piece struct {
-	arrival  time.Duration
-	lifetime time.Duration
-	cost     float64
-	tokens   float64
+	class  int
+	phase  int
+	cost   float64
+	tokens float64
 }
 
 // bound returns an analytic upper bound for the good tokens of a seed's arrivals, for a policy
 // that knows all lengths and loads. It relaxes the problem in these ways: engines always run full
 // batches at the largest size that meets the class's target between tokens, all shared prefixes
-// are cached, work is divisible, it may run anywhere between the arrival and the latest end that
-// its targets allow, and no engine is ever down or slow.
+// are cached, work is divisible, and no engine is ever down or slow.
 //
-// What remains are limits on engine time, see levels. The bound is loose by about a half in
-// bursts that are several times the capacity.
+// What remains are limits on engine time, see limits. The sets of calls that they apply to are
+// nested or disjoint, so that the greedy choice by tokens per engine second is optimal.
 func bound(dep deployment, sc scenario, seed uint64) float64 {
 	var pieces []piece
 	for i := range dep.classes {
@@ -30,82 +29,102 @@
 		for c := src.next(); c != nil; c = src.next() {
 			shared := sc.shape.prefixBlocks * blockTokens
 			pieces = append(pieces, piece{
-				arrival:  c.arrival,
-				lifetime: lifetime(c),
-				cost:     dep.model.cost(spec.BetweenTokens, float64(c.prompt-shared), float64(c.output)),
-				tokens:   float64(c.output),
+				class:  i,
+				phase:  sc.shape.phase(c.arrival),
+				cost:   dep.model.cost(spec.BetweenTokens, float64(c.prompt-shared), float64(c.output)),
+				tokens: float64(c.output),
 			})
 		}
 	}
+	l := newLimits(dep, sc.shape, pieces)
 	slices.SortStableFunc(pieces, func(a, b piece) int {
 		return cmp.Compare(b.tokens/b.cost, a.tokens/a.cost)
 	})
 	total := 0.0
-	limits := newLevels(float64(dep.engines), sc.shape.horizon)
 	for _, p := range pieces {
-		total += p.tokens / p.cost * limits.take(p)
+		total += p.tokens / p.cost * l.take(p)
 	}
 	return total
 }
 
-// lifetime is the time from the arrival to the latest end that meets the targets.
-func lifetime(c *call) time.Duration {
-	if c.class.Total > 0 {
-		return c.class.Total
+// phases of a scenario: before, during and after its burst.
+const phases = 3
+
+func (s shape) phase(t time.Duration) int {
+	switch {
+	case t < s.burstFrom:
+		return 0
+	case t < s.burstTo:
+		return 1
 	}
-	return c.class.FirstToken + time.Duration(c.output)*c.class.BetweenTokens
+	return 2
 }
 
-// levels limit engine time: the work that arrives in a window and lives no longer than the
-// level's lifetime must run within the window and that lifetime. Lifetimes and windows double
-// from level to level, so that these sets are nested. For nested sets the greedy choice, by
-// tokens per engine second, is optimal.
-type levels struct {
-	engines float64
-	horizon time.Duration
-	room    []map[int]float64
+func (s shape) phaseLength(phase int) time.Duration {
+	return [phases]time.Duration{s.burstFrom, s.burstTo - s.burstFrom, s.horizon - s.burstTo}[phase]
 }
 
-// shortestLifetime is the lifetime of the first level.
-const shortestLifetime = 2 * time.Second
-
-func newLevels(engines float64, horizon time.Duration) *levels {
-	return &levels{engines: engines, horizon: horizon}
+// limits are the engine time left for sets of calls. Calls of a phase whose class has a target for
+// the first token must have started at the end of the phase plus that target. What then remains
+// of them fits in the slots of the engines, which is at most the longest answers of the phase.
+type limits struct {
+	// class is by class and phase, start by phase for all classes with a target for the first
+	// token, and all for all calls.
+	class [][phases]float64
+	start [phases]float64
+	all   float64
+	// starts says which classes have a target for the first token.
+	starts []bool
 }
 
-// take returns how much of the piece's engine time fits, and uses it.
-func (l *levels) take(p piece) float64 {
-	first := 0
-	for level(first) < p.lifetime {
-		first++
+func newLimits(dep deployment, sh shape, pieces []piece) *limits {
+	l := &limits{}
+	var latest, longest time.Duration
+	for i := range dep.classes {
+		spec := &dep.classes[i]
+		l.starts = append(l.starts, spec.FirstToken > 0)
+		latest = max(latest, spec.FirstToken)
+		longest = max(longest, spec.patienceTotal)
+		l.class = append(l.class, [phases]float64{})
+		for phase := range phases {
+			l.class[i][phase] = limit(dep, sh.phaseLength(phase)+spec.FirstToken, pieces, func(p piece) bool {
+				return p.class == i && p.phase == phase
+			})
+		}
 	}
-	last := max(first, l.lastLevel())
-	for len(l.room) <= last {
-		l.room = append(l.room, map[int]float64{})
+	for phase := range phases {
+		l.start[phase] = limit(dep, sh.phaseLength(phase)+latest, pieces, func(p piece) bool {
+			return l.starts[p.class] && p.phase == phase
+		})
 	}
-	got := p.cost
-	for j := first; j <= last; j++ {
-		w := int(p.arrival / (2 * level(j)))
-		room, ok := l.room[j][w]
-		if !ok {
-			room = l.engines * (min(2*level(j), l.horizon) + level(j)).Seconds()
-			l.room[j][w] = room
+	l.all = float64(dep.engines) * (sh.horizon + longest).Seconds()
+	return l
+}
+
+// limit is the engine time of a period and of the longest answers that fill all slots after it.
+func limit(dep deployment, period time.Duration, pieces []piece, match func(piece) bool) float64 {
+	var costs []float64
+	for _, p := range pieces {
+		if match(p) {
+			costs = append(costs, p.cost)
 		}
-		got = min(got, room)
 	}
-	for j := first; j <= last; j++ {
-		l.room[j][int(p.arrival/(2*level(j)))] -= got
+	slices.Sort(costs)
+	rest := 0.0
+	for _, c := range costs[max(0, len(costs)-dep.engines*dep.model.batch):] {
+		rest += c
 	}
-	return got
+	return float64(dep.engines)*period.Seconds() + rest
 }
 
-func level(j int) time.Duration { return shortestLifetime << j }
-
-// lastLevel is the first level whose window covers all arrivals.
-func (l *levels) lastLevel() int {
-	j := 0
-	for 2*level(j) < l.horizon {
-		j++
+// take returns how much of the piece's engine time fits, and uses it.
+func (l *limits) take(p piece) float64 {
+	room := min(p.cost, l.all)
+	if l.starts[p.class] {
+		room = min(room, l.class[p.class][p.phase], l.start[p.phase])
+		l.class[p.class][p.phase] -= room
+		l.start[p.phase] -= room
 	}
-	return j
+	l.all -= room
+	return room
 }
