Load engines from a second scheduler; switch presets twice

Cause: without load that the policy does not know, load reports made no difference, and with one class per tier neither did slack.

Change: in stale_reports another scheduler loads a third of the engines in turn. In preset_switch tiers 2 and 3 first swap and then become one. Results have the median wait of refused requests.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -47,14 +47,11 @@
 					t.Errorf("seed %d: class %s has %d calls and %d ends", seed, spec.Name, n.offered, ends)
 				}
 			}
-			counted, computed := s.metrics.useful, 0
+			counted := s.metrics.useful
 			for _, n := range s.metrics.wasted {
 				counted += n
 			}
-			for _, e := range s.engines {
-				computed += e.computed
-			}
-			if counted != computed {
+			if computed := s.computed(); counted != computed {
 				t.Errorf("seed %d: %d tokens counted, %d computed", seed, counted, computed)
 			}
 			for _, state := range s.checker.order {
--- a/internal/bench/collector.go
+++ b/internal/bench/collector.go
@@ -40,6 +40,7 @@
 	ends          [endFailed + 1]int
 	firstToken    []time.Duration
 	between       []time.Duration
+	shedWait      []time.Duration
 }
 
 func newCollector(dep *deployment, windowSize int) *collector {
@@ -82,7 +83,8 @@
 
 func (m *collector) waste(why reason, tokens int) { m.wasted[why] += tokens }
 
-func (m *collector) shed(c *call, tier int, why policy.ShedReason) {
+func (m *collector) shed(c *call, now time.Duration, tier int, why policy.ShedReason) {
+	m.classes[c.class].shedWait = append(m.classes[c.class].shedWait, now-c.arrival)
 	m.shedsByTier[tier]++
 	m.shedsByReason[shedNames[why]]++
 }
--- a/internal/bench/driver.go
+++ b/internal/bench/driver.go
@@ -113,7 +113,7 @@
 		c.endpoint = s.byID[d.Endpoint]
 		s.loop.after(2*delay, func() { s.start(c) })
 	case policy.Shed:
-		s.metrics.shed(c, s.checker.tier(c), d.Reason)
+		s.metrics.shed(c, s.loop.now, s.checker.tier(c), d.Reason)
 		c.state = idle
 		s.metrics.waste(wasteRetried, c.kept)
 		s.conclude(c, endShed)
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -57,6 +57,8 @@
 	// FirstTokenP95 and BetweenTokensP95 are in milliseconds, of complete answers.
 	FirstTokenP95    float64 `json:"first_token_p95_ms"`
 	BetweenTokensP95 float64 `json:"between_tokens_p95_ms"`
+	// ShedWait is the median time from the arrival to the refusal in milliseconds.
+	ShedWait float64 `json:"shed_wait_ms"`
 }
 
 // Spread is the smallest and the largest value over the seeds.
@@ -76,10 +78,7 @@
 // result returns the figures of one run.
 func (s *sim) result(bound float64) PolicyResult {
 	m := s.metrics
-	computed := 0
-	for _, e := range s.engines {
-		computed += e.computed
-	}
+	computed := s.computed()
 	r := PolicyResult{
 		Classes:              map[string]ClassResult{},
 		Goodput:              float64(m.goodTokens) / s.scenario.shape.horizon.Seconds(),
@@ -103,9 +102,21 @@
 	return r
 }
 
+// computed is the number of tokens that engines computed for the policy's requests.
+func (s *sim) computed() int {
+	n := 0
+	for _, e := range s.engines {
+		n += e.computed
+	}
+	for _, q := range s.foreign {
+		n -= q.computed()
+	}
+	return n
+}
+
 func (n *classCount) result() ClassResult {
-	ms := func(values []time.Duration) float64 {
-		return ratio(quantile(values, 0.95), time.Millisecond)
+	ms := func(values []time.Duration, q float64) float64 {
+		return ratio(quantile(values, q), time.Millisecond)
 	}
 	return ClassResult{
 		Attainment:       ratio(n.attained, n.offered),
@@ -116,8 +127,9 @@
 		Abandoned:        ratio(n.ends[endAbandoned], n.offered),
 		Expired:          ratio(n.ends[endExpired], n.offered),
 		Failed:           ratio(n.ends[endFailed], n.offered),
-		FirstTokenP95:    ms(n.firstToken),
-		BetweenTokensP95: ms(n.between),
+		FirstTokenP95:    ms(n.firstToken, 0.95),
+		BetweenTokensP95: ms(n.between, 0.95),
+		ShedWait:         ms(n.shedWait, 0.5),
 	}
 }
 
@@ -125,7 +137,7 @@
 func (c *ClassResult) figures() []*float64 {
 	return []*float64{
 		&c.Attainment, &c.AttainmentSmall, &c.Offered, &c.Completed, &c.Shed, &c.Abandoned,
-		&c.Expired, &c.Failed, &c.FirstTokenP95, &c.BetweenTokensP95,
+		&c.Expired, &c.Failed, &c.FirstTokenP95, &c.BetweenTokensP95, &c.ShedWait,
 	}
 }
 
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -2,10 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
-
-	"github.com/chivewind/chivewind/policy"
 )
 
 // ScenarioInfo names a scenario and describes it in one sentence.
@@ -102,9 +101,10 @@
 			shape:        shape{horizon: 90 * s, load: 0.6, poisonAt: []time.Duration{15 * s, 45 * s}},
 		},
 		{
-			ScenarioInfo: info("stale_reports", "Load reports arrive 5 s late at 90% of the capacity."),
-			shape:        shape{horizon: 90 * s, load: 0.9},
+			ScenarioInfo: info("stale_reports", "Load reports arrive 5 s late while another scheduler loads a third of the engines in turn."),
+			shape:        shape{horizon: 90 * s, load: 0.7},
 			reportLag:    5 * s,
+			faults:       foreignLoad,
 		},
 		{
 			ScenarioInfo: info("shared_prefix", "Long shared prefixes with a small prefix cache at 90% of the capacity without cache hits."),
@@ -119,7 +119,7 @@
 			},
 		},
 		{
-			ScenarioInfo: info("preset_switch", "Operators switch presets, which swaps tiers 2 and 3, amid a burst of tier 1."),
+			ScenarioInfo: info("preset_switch", "Operators switch presets amid a burst of tier 1: tiers 2 and 3 swap, then become one."),
 			shape:        burst,
 			faults:       presetSwitch,
 		},
@@ -148,21 +148,43 @@
 	}
 }
 
-// presetSwitch swaps tiers 2 and 3 during the burst, for example to finish overnight work.
+// presetSwitch swaps tiers 2 and 3 during the burst, for example to finish overnight work, and
+// makes them one tier at its end.
 func presetSwitch(s *sim) {
-	s.loop.at(38*time.Second, func() {
-		classes := make([]policy.Class, len(s.classes))
-		copy(classes, s.classes)
+	original := s.classes
+	for _, preset := range []struct {
+		at    time.Duration
+		tiers map[int]int
+	}{
+		{38 * time.Second, map[int]int{1: 1, 2: 3, 3: 2}},
+		{50 * time.Second, map[int]int{1: 1, 2: 2, 3: 2}},
+	} {
+		classes := slices.Clone(original)
 		for i := range classes {
-			switch classes[i].Tier {
-			case 2:
-				classes[i].Tier = 3
-			case 3:
-				classes[i].Tier = 2
-			}
+			classes[i].Tier = preset.tiers[classes[i].Tier]
 		}
-		s.setClasses(classes)
-	})
+		s.loop.at(preset.at, func() { s.setClasses(classes) })
+	}
+}
+
+// foreignLoad sends requests of another scheduler to the engines, a third of them in turn, for
+// example while two schedulers own a shard. The policy knows them only from load reports.
+func foreignLoad(s *sim) {
+	const period, requests = 10 * time.Second, 30
+	for turn := 0; time.Duration(turn)*period < s.scenario.shape.horizon; turn++ {
+		s.loop.at(time.Duration(turn)*period, func() {
+			for i, e := range s.engines {
+				for range requests {
+					if (i+turn)%3 != 0 {
+						break
+					}
+					q := &sequence{call: &call{done: true}, priority: 1, prompt: 500, output: 350}
+					s.foreign = append(s.foreign, q)
+					e.submit(q)
+				}
+			}
+		})
+	}
 }
 
 // pickEngine returns a different engine for each i, in an order that depends on the seed.
--- a/internal/bench/sim.go
+++ b/internal/bench/sim.go
@@ -42,6 +42,9 @@
 	// sendPriority says whether engines see the tier as the priority.
 	sendPriority bool
 
+	// foreign are sequences of another scheduler, which count neither as useful nor as wasted.
+	foreign []*sequence
+
 	recovery *recovery
 	checker  *checker
 	metrics  *collector
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -44,16 +44,16 @@
 }
 
 func (r Result) writeClasses(w *tabwriter.Writer) {
-	fmt.Fprintln(w, "class\tpolicy\tattainment\tsmall workspaces\tcompleted\tshed\tabandoned\texpired\tfailed\tp95 first token\tp95 between tokens")
+	fmt.Fprintln(w, "class\tpolicy\tattainment\tsmall workspaces\tcompleted\tshed\tabandoned\texpired\tfailed\tp95 first token\tp95 between tokens\tmedian wait of shed")
 	for _, name := range slices.Sorted(maps.Keys(r.Policies)) {
 		classes := r.Policies[name].Classes
 		for _, class := range slices.Sorted(maps.Keys(classes)) {
 			c := classes[class]
-			fmt.Fprintf(w, "%s\t%s\t%s (%s to %s)\t%s\t%s\t%s\t%s\t%s\t%s\t%.0f ms\t%.1f ms\n",
+			fmt.Fprintf(w, "%s\t%s\t%s (%s to %s)\t%s\t%s\t%s\t%s\t%s\t%s\t%.0f ms\t%.1f ms\t%.0f ms\n",
 				class, name, percent(c.Attainment), percent(c.AttainmentSpread.Min),
 				percent(c.AttainmentSpread.Max), percent(c.AttainmentSmall), percent(c.Completed),
 				percent(c.Shed), percent(c.Abandoned), percent(c.Expired), percent(c.Failed),
-				c.FirstTokenP95, c.BetweenTokensP95)
+				c.FirstTokenP95, c.BetweenTokensP95, c.ShedWait)
 		}
 	}
 }
