--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -47,14 +47,11 @@
 					t.Errorf("seed %d: class %s has %d calls and %d ends", seed, spec.Name, n.offered, ends)
 				}
 			}
-			counted, computed := s.metrics.useful, 0
+			counted := s.metrics.useful
 			for _, n := range s.metrics.wasted {
 				counted += n
 			}
-			for _, e := range s.engines {
-				computed += e.computed
-			}
-			if counted != computed {
+			if computed := s.computed(); counted != computed {
 				t.Errorf("seed %d: %d tokens counted, %d computed", seed, counted, computed)
 			}
 			for _, state := range s.checker.order {
@@ -109,6 +106,14 @@
 	}
 }
 
+// TestAblateRejects guards against a variant that is the unchanged policy because its switch does
+// not exist.
+func TestAblateRejects(t *testing.T) {
+	if _, err := Ablate("policy.fifo_least", "affinity"); err == nil {
+		t.Error("no error for a policy without switches")
+	}
+}
+
 // TestPoison guards against a request that crashes more than two engines although its caller
 // sends it again.
 func TestPoison(t *testing.T) {
@@ -147,7 +152,7 @@
 			high := &classState{class: policy.Class{Name: "high", Tier: 1}}
 			low := &classState{class: policy.Class{Name: "low", Tier: 3, Floor: c.floor}, lastGrant: -time.Hour}
 			k := &checker{
-				now: &now, slots: 4, order: []*classState{high, low},
+				now: &now, policy: baseline.New(baseline.FIFOLeast), slots: 4, order: []*classState{high, low},
 				classes: map[string]*classState{"high": high, "low": low},
 			}
 			upper := &call{class: &classSpec{Class: high.class}}
