Test membership in fault tables and fix what they found

Cause: The tables (kill, pause, partition, one-way loss, flapping, rolling leave) showed that a daemon that lost contact removed others from the views after it returned, and that a refutation was lost for good when all its packets were lost. A joining daemon gossiped all members that it had just learned, and halves of 390 members needed minutes to agree after a partition.

Change: A claim of death from another daemon is only a suspicion; whole views carry no claims of failure; a repeated claim renews the refutation; a large exchange is not gossiped; heartbeats carry a digest of the members, and daemons that differ for 5 s exchange their views; dead members are probed every 2 s.

--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -85,6 +85,15 @@
 	return true
 }
 
+// startExchange exchanges views with a member in the background.
+func (m *Membership) startExchange(target *peer.Member) {
+	m.trustMu.Lock()
+	defer m.trustMu.Unlock()
+	if m.ctx.Err() == nil {
+		m.running.Go(func() { m.syncWith(m.ctx, target) })
+	}
+}
+
 // others returns the live members except this daemon.
 func (m *Membership) others() []*peer.Member {
 	return slices.DeleteFunc(slices.Clone(m.Live()), func(o *peer.Member) bool { return o.Id == m.cfg.Self.Id })
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -29,6 +29,13 @@
 // PauseLimit is the time without a tick after which the process counts as paused.
 const PauseLimit = 2 * time.Second
 
+// MembersVersion names the digest of the members in lists of document versions.
+const MembersVersion = "."
+
+// exchangeAfter is the time of disagreement after which two daemons exchange their views, and the
+// least time between two such exchanges.
+const exchangeAfter = 5 * time.Second
+
 // Config holds what a Membership needs.
 type Config struct {
 	// Self describes this daemon. Incarnation 0 is replaced by the wall clock in milliseconds,
@@ -81,12 +88,18 @@
 	view     atomic.Pointer[view]
 	lastTick atomic.Int64
 	trusted  atomic.Bool
-	trustMu  sync.Mutex
-	pauses   int
-	joined   chan struct{}
-	joinOnce sync.Once
-	cancel   context.CancelFunc
-	running  sync.WaitGroup
+	// trustMu guards the end of recoveries and the start of exchanges.
+	trustMu sync.Mutex
+	pauses  int
+	// agreed is when a heartbeat last carried this daemon's own digest, and exchanged when it
+	// last exchanged views because of a different one, both in nanoseconds of now.
+	agreed    atomic.Int64
+	exchanged atomic.Int64
+	joined    chan struct{}
+	joinOnce  sync.Once
+	ctx       context.Context
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
 
 	mu    sync.Mutex
 	state *swim.State
@@ -154,6 +167,7 @@
 	}
 	// The daemon's context ends when a stop begins, but members must be answered until Stop.
 	ctx, m.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	m.ctx = ctx
 	m.lastTick.Store(int64(m.now()))
 	m.running.Go(func() { m.tickLoop(ctx) })
 	m.running.Go(m.receiveLoop)
@@ -170,7 +184,10 @@
 		})
 	}
 	if m.cancel != nil {
+		// Under the lock, so that no exchange starts while Stop waits for them.
+		m.trustMu.Lock()
 		m.cancel()
+		m.trustMu.Unlock()
 	}
 	err := m.transport.Close()
 	m.running.Wait()
@@ -210,7 +227,8 @@
 // send adds documents and loads to a packet and sends it. A datagram may be lost anyway, so that a
 // failed send is only counted.
 func (m *Membership) send(e swim.Envelope) {
-	e.Packet.Versions = m.documents.HeartbeatVersions()
+	e.Packet.Versions = append(m.documents.HeartbeatVersions(),
+		&peer.DocumentVersion{Name: MembersVersion, Version: m.Digest()})
 	if m.shardLoads != nil {
 		e.Packet.Loads = m.shardLoads()
 	}
@@ -266,12 +284,37 @@
 	m.do(func(s *swim.State) { s.Handle(m.now(), from, p) })
 	if sender := m.view.Load().find(p.From); sender != nil && len(p.Versions) > 0 {
 		m.documents.ObserveVersions(sender, p.Versions)
+		m.compare(sender, p.Versions)
 	}
 	if m.observeLoads != nil && len(p.Loads) > 0 {
 		m.observeLoads(p.From, p.Loads)
 	}
 }
 
+// compare exchanges views with a member when heartbeats have shown other digests for some time.
+// Gossip alone would need minutes after the partition of a large fleet has healed.
+func (m *Membership) compare(sender *peer.Member, versions []*peer.DocumentVersion) {
+	now := m.now()
+	for _, v := range versions {
+		if v.Name == MembersVersion && v.Version == m.Digest() {
+			m.agreed.Store(int64(now))
+		}
+	}
+	last := m.exchanged.Load()
+	if !shouldExchange(now, time.Duration(m.agreed.Load()), time.Duration(last)) {
+		return
+	}
+	if m.exchanged.CompareAndSwap(last, int64(now)) {
+		m.startExchange(sender)
+	}
+}
+
+// shouldExchange says whether views are to be exchanged, from the times of the last agreement and
+// of the last exchange.
+func shouldExchange(now, agreed, exchanged time.Duration) bool {
+	return now-agreed > exchangeAfter && now-exchanged > exchangeAfter
+}
+
 // Advertise sends the current document versions and updates to a few random members at once.
 func (m *Membership) Advertise() { m.do((*swim.State).Advertise) }
 
--- a/internal/membership/swim/config.go
+++ b/internal/membership/swim/config.go
@@ -22,6 +22,7 @@
 	// SuspicionTimeout is the time in which a suspected member can refute.
 	SuspicionTimeout time.Duration
 	// ReconnectInterval is the time between probes of one dead member, which heal a partition.
+	// After the partition of a large fleet each member must be told once that it was declared dead.
 	ReconnectInterval time.Duration
 	// ForgetAfter is how long dead members are kept.
 	ForgetAfter time.Duration
@@ -43,7 +44,7 @@
 		AckTimeout:        300 * time.Millisecond,
 		IndirectProbes:    3,
 		SuspicionTimeout:  4 * time.Second,
-		ReconnectInterval: 5 * time.Second,
+		ReconnectInterval: 2 * time.Second,
 		ForgetAfter:       30 * time.Minute,
 		FlapWindow:        5 * time.Minute,
 		FlapMin:           5 * time.Second,
--- a/internal/membership/swim/gossip.go
+++ b/internal/membership/swim/gossip.go
@@ -13,6 +13,9 @@
 // updateOverhead is the tag and length that precede an update in a packet.
 const updateOverhead = 3
 
+// minUpdate is the room below which no update fits.
+const minUpdate = 20
+
 // urgentInterval bounds the rate of urgent packets when many members fail at once.
 const urgentInterval = 500 * time.Millisecond
 
@@ -59,6 +62,10 @@
 	limit := s.limit()
 	kept := s.queue[:0]
 	for _, b := range s.queue {
+		if room < minUpdate {
+			kept = append(kept, b)
+			continue
+		}
 		m := s.info(b.id)
 		if m == nil {
 			continue
--- a/internal/membership/swim/merge.go
+++ b/internal/membership/swim/merge.go
@@ -1,6 +1,7 @@
 package swim
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -8,8 +9,25 @@
 	"github.com/chivewind/chivewind/peer"
 )
 
-// Merge applies what another daemon knows about members, from a packet or a full exchange.
-func (s *State) Merge(now time.Duration, updates []*peer.Member) {
+// Merge applies another daemon's whole view. Its claims that known members failed are left out:
+// after a partition they would put the other side's members under suspicion all at once, faster
+// than they can refute. Each daemon finds failures by probes and by gossip.
+func (s *State) Merge(now time.Duration, view []*peer.Member) {
+	before := slices.Clone(s.queue)
+	s.merge(now, view, false)
+	if len(s.queue)-len(before) <= bulkMerge {
+		return
+	}
+	// A daemon that learns this much has just joined, or is behind; the others know it already.
+	// Gossip about all of it would fill its packets for minutes.
+	s.queue = before
+	s.enqueue(s.self.Id)
+}
+
+// bulkMerge is the number of new records in one exchange up to which they are gossiped.
+const bulkMerge = 16
+
+func (s *State) merge(now time.Duration, updates []*peer.Member, gossip bool) {
 	for _, u := range updates {
 		if u == nil || u.Id == "" || precedence(u.State) == 0 {
 			continue
@@ -18,6 +36,10 @@
 			s.refute(u)
 			continue
 		}
+		_, known := s.members[u.Id]
+		if !gossip && known && (u.State == suspect || u.State == dead) {
+			continue
+		}
 		s.apply(now, u)
 	}
 }
@@ -26,6 +48,10 @@
 // is left from an earlier process with the same id.
 func (s *State) refute(u *peer.Member) {
 	if u.Incarnation < s.self.Incarnation {
+		// The sender has not heard the refutation, which may have been lost each time it was sent.
+		if u.State == suspect || u.State == dead {
+			s.enqueue(s.self.Id)
+		}
 		return
 	}
 	if u.Incarnation == s.self.Incarnation && precedence(u.State) <= precedence(s.self.State) &&
@@ -53,10 +79,18 @@
 		return
 	}
 	next := withAddresses(u, m.info)
-	// After a partition the other side's claims of death arrive about members that this side
-	// sees alive. They become suspicions, which the members can refute.
-	if u.State == dead && m.info.State == alive {
-		next.State = suspect
+	// Another daemon's claim of death is a suspicion here, so that the member always has the full
+	// time to refute. Otherwise one daemon that lost contact could remove all others.
+	if u.State == dead {
+		switch {
+		case m.info.State == leaving:
+			s.suspect(now, m)
+			return
+		case m.info.State == suspect && m.info.Incarnation == u.Incarnation:
+			return
+		case m.reachable():
+			next.State = suspect
+		}
 	}
 	s.change(now, m, next)
 }
--- a/internal/membership/swim/probe.go
+++ b/internal/membership/swim/probe.go
@@ -119,7 +119,7 @@
 	if p.From == s.self.Id || p.From == "" {
 		return
 	}
-	s.Merge(now, p.Updates)
+	s.merge(now, p.Updates, true)
 	switch p.Kind {
 	case peer.Packet_KIND_PING:
 		// Sequence 0 marks a packet that only spreads news.
--- /dev/null
+++ b/internal/membership/swim_test.go
@@ -0,0 +1,172 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/chivewind/chivewind/peer"
+)
+
+// TestSWIM runs the fault tables in testdata. Each file names the failure that it guards against.
+func TestSWIM(t *testing.T) {
+	datadriven.Walk(t, "testdata/swim", func(t *testing.T, path string) {
+		var s *sim
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "fleet" {
+				var n int
+				var seed uint64
+				d.ScanArgs(t, "n", &n)
+				d.ScanArgs(t, "seed", &seed)
+				s = newSim(n, seed, nil)
+				return fmt.Sprintf("seed %d\n", seed)
+			}
+			return s.command(t, d)
+		})
+	})
+}
+
+// ids returns the arguments without values.
+func ids(d *datadriven.TestData) []string {
+	var list []string
+	for _, a := range d.CmdArgs {
+		if len(a.Vals) == 0 {
+			list = append(list, a.Key)
+		}
+	}
+	return list
+}
+
+func (s *sim) command(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "run":
+		s.run(duration(t, d, "for"))
+	case "kill":
+		for _, id := range ids(d) {
+			s.node(id).down = true
+		}
+	case "restart":
+		for _, id := range ids(d) {
+			s.restart(s.node(id))
+		}
+	case "pause":
+		s.node(ids(d)[0]).paused = true
+	case "resume":
+		s.resume(s.node(ids(d)[0]))
+	case "leave":
+		s.node(ids(d)[0]).state.Leave(d.HasArg("final"))
+		s.flush(s.node(ids(d)[0]))
+	case "partition":
+		side := ids(d)
+		s.lost = func(from, to string) bool {
+			return slices.Contains(side, from) != slices.Contains(side, to)
+		}
+	case "lose-from":
+		senders := ids(d)
+		s.lost = func(from, _ string) bool { return slices.Contains(senders, from) }
+	case "lose-between":
+		pair := ids(d)
+		s.lost = func(from, to string) bool { return slices.Contains(pair, from) && slices.Contains(pair, to) }
+	case "heal":
+		s.lost = func(_, _ string) bool { return false }
+	case "await":
+		return s.await(t, d)
+	case "rolling-restart":
+		return s.rollingRestart(t)
+	case "views":
+		return s.views()
+	case "states":
+		return s.states(ids(d)[0])
+	default:
+		t.Fatalf("unknown command %q", d.Cmd)
+	}
+	return ""
+}
+
+func duration(t *testing.T, d *datadriven.TestData, arg string) time.Duration {
+	t.Helper()
+	var text string
+	d.ScanArgs(t, arg, &text)
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// await runs until all daemons outside except see a number of live members.
+func (s *sim) await(t *testing.T, d *datadriven.TestData) string {
+	var live int
+	var except string
+	d.ScanArgs(t, "live", &live)
+	d.MaybeScanArgs(t, "except", &except)
+	limit := duration(t, d, "within")
+	start := s.now
+	for !s.agree(live, strings.Split(except, "+")) {
+		if s.now-start >= limit {
+			return fmt.Sprintf("not within %s\n%s", limit, s.views())
+		}
+		s.run(tickInterval)
+	}
+	return fmt.Sprintf("after %s\n", s.now-start)
+}
+
+// restart starts a daemon again under the same id; it joins through another one.
+func (s *sim) restart(node *simNode) {
+	node.self.Incarnation += 1000
+	s.start(node, node.self.Incarnation)
+	for _, other := range s.nodes {
+		if other != node && !other.down {
+			node.state.Merge(s.now, other.state.All())
+			other.state.Merge(s.now, []*peer.Member{node.state.Self()})
+			break
+		}
+	}
+}
+
+// rollingRestart lets each daemon leave, stop and start in turn. It fails when a daemon that is not
+// being restarted is missing from any view.
+func (s *sim) rollingRestart(t *testing.T) string {
+	for i, node := range s.nodes {
+		node.state.Leave(false)
+		s.flush(node)
+		// The leave reaches all members over drpc.
+		for _, other := range s.nodes {
+			if other != node {
+				other.state.Merge(s.now, []*peer.Member{node.state.Self()})
+			}
+		}
+		if !s.agree(len(s.nodes)-1, nil) {
+			return fmt.Sprintf("wrong view while %s leaves\n%s", node.id, s.views())
+		}
+		s.run(2 * time.Second)
+		node.state.Leave(true)
+		node.state.Advertise()
+		s.flush(node)
+		node.down = true
+		s.run(3 * time.Second)
+		if !s.agree(len(s.nodes)-1, nil) {
+			return fmt.Sprintf("wrong view while %s is down\n%s", node.id, s.views())
+		}
+		s.restart(node)
+		s.run(5 * time.Second)
+		if !s.agree(len(s.nodes), nil) {
+			return fmt.Sprintf("wrong view after restart %d\n%s", i, s.views())
+		}
+	}
+	return "ok\n"
+}
+
+// states lists what a daemon knows about the others.
+func (s *sim) states(id string) string {
+	var out strings.Builder
+	for _, m := range s.node(id).state.All() {
+		state := strings.ToLower(strings.TrimPrefix(m.State.String(), "MEMBER_STATE_"))
+		fmt.Fprintf(&out, "%s %s\n", m.Id, state)
+	}
+	return out.String()
+}
--- a/internal/replica/versions.go
+++ b/internal/replica/versions.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/chivewind/chivewind/internal/membership"
 	"github.com/chivewind/chivewind/peer"
 )
 
@@ -15,7 +16,7 @@
 	// documents there are.
 	digestName = ""
 	// membersName carries the digest of the members in a SyncRequest or SyncReply.
-	membersName = "."
+	membersName = membership.MembersVersion
 )
 
 // maxNamed bounds the documents named in one packet.
