--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -34,7 +34,6 @@
 // Client is the entry daemon's side of scheduling. It implements dispatch.Scheduler.
 type Client struct {
 	cfg     ClientConfig
-	self    *peer.Member
 	count   clientCounters
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -86,7 +85,7 @@
 		return metrics.GetOrRegisterCounter("scheduler.client."+name, cfg.Metrics)
 	}
 	c := &Client{
-		cfg: cfg, self: cfg.Members.Self(),
+		cfg: cfg,
 		count: clientCounters{
 			late: get("late_replies"), moved: get("moved"), resumed: get("resumed"),
 			reasked: get("asked_again"), second: get("second_candidate"), streams: get("streams"),
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -122,7 +124,12 @@
 func (c *Client) placeAll() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, k := range c.calls {
+	calls := slices.SortedFunc(maps.Values(c.calls), func(a, b *call) int {
+		// Running attempts come first, so that no waiting one gets their slots; waiting ones keep
+		// their order.
+		return cmp.Or(cmp.Compare(b.state, a.state), a.arrival.Compare(b.arrival))
+	})
+	for _, k := range calls {
 		c.place(k)
 	}
 }
@@ -154,6 +161,7 @@
 	if l == nil {
 		return
 	}
+	l.usedAt = time.Now()
 	k.link = l
 	k.placed = k.shard
 	if k.state == callGranted {
--- a/internal/scheduler/reply.go
+++ b/internal/scheduler/reply.go
@@ -106,8 +106,12 @@
 		k.link = nil
 		affected = true
 	}
-	if affected {
-		f.add(time.Now(), false)
-		c.wake()
+	if !affected {
+		return
+	}
+	// Many calls of one shard are moved at a time; they count as one failure.
+	if now := time.Now(); !now.Before(f.until) {
+		f.add(now, false)
 	}
+	c.wake()
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -57,7 +57,6 @@
 // Scheduler owns the shards for which this daemon has the highest rendezvous weight.
 type Scheduler struct {
 	cfg     Config
-	self    string
 	started time.Time
 	count   counters
 	ctx     context.Context
@@ -97,7 +96,7 @@
 		return metrics.GetOrRegisterCounter("scheduler."+name, cfg.Metrics)
 	}
 	s := &Scheduler{
-		cfg: cfg, self: cfg.Members.Self().Id, started: time.Now(),
+		cfg: cfg, started: time.Now(),
 		count: counters{
 			stale: get("stale_attempts"), moved: get("moved"), granted: get("granted"), shed: get("shed"),
 			preempted: get("preempted"), released: get("released"), resumed: get("resumed"),
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -47,13 +47,17 @@
 	return x
 }
 
-// close releases the session's requests.
+// rebindGrace is the time in which an entry daemon whose stream broke can register its requests
+// again on a new one. Without it others would get its slots while its attempts still run.
+const rebindGrace = 250 * time.Millisecond
+
+// close ends the session and releases the requests that are not registered again in time.
 func (x *session) close() {
 	x.scheduler.mu.Lock()
 	delete(x.scheduler.sessions, x)
 	x.scheduler.mu.Unlock()
 	x.out.close()
-	x.release()
+	time.AfterFunc(rebindGrace, x.release)
 }
 
 func (x *session) release() {
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -10,6 +10,10 @@
 	"github.com/chivewind/chivewind/policy"
 )
 
+// settleTime is the time after a takeover in which running attempts are registered before the first
+// grant. Otherwise an endpoint would get its slots' worth of work twice.
+const settleTime = 200 * time.Millisecond
+
 // minTimer bounds the rate of a policy whose next decision is always due.
 const minTimer = time.Millisecond
 
@@ -28,6 +32,8 @@
 	timer     *time.Timer
 	decisions []policy.Decision
 	closed    bool
+	// settled is when decisions begin.
+	settled time.Duration
 }
 
 // entry is a request that the policy knows.
@@ -42,6 +48,7 @@
 func newShard(s *Scheduler, id string) *shard {
 	h := &shard{scheduler: s, id: id, policy: s.cfg.NewPolicy(), entries: map[string]*entry{}}
 	h.ctx, h.cancel = context.WithCancel(s.ctx)
+	h.settled = s.now() + settleTime
 	h.apply(s.snapshot, s.defined[id], s.draining)
 	if s.cfg.Poll != nil {
 		s.running.Go(h.pollLoop)
@@ -264,9 +271,13 @@
 		return
 	}
 	now := h.scheduler.now()
-	decisions, next := h.policy.Step(now, h.decisions[:0])
-	h.decisions = decisions
-	for _, d := range decisions {
+	next := h.settled
+	if now >= h.settled {
+		h.decisions, next = h.policy.Step(now, h.decisions[:0])
+	} else {
+		h.decisions = h.decisions[:0]
+	}
+	for _, d := range h.decisions {
 		h.decide(d)
 	}
 	if h.timer != nil {
