--- a/internal/cluster/clustertest/network.go
+++ b/internal/cluster/clustertest/network.go
@@ -54,17 +54,29 @@
 
 // Break closes the open connections of an address, as the death of its process does.
 func (n *Network) Break(address string) {
+	for _, c := range n.open(address) {
+		_ = c.Close()
+	}
+}
+
+// Silence makes the open connections of an address silent for good; new ones work.
+func (n *Network) Silence(address string) {
+	for _, c := range n.open(address) {
+		c.out.silence()
+	}
+}
+
+// open returns both ends of the connections of an address.
+func (n *Network) open(address string) []*conn {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	var list []*conn
 	for _, c := range n.conns {
 		if c.local == address || c.remote == address {
 			list = append(list, c)
 		}
 	}
-	n.mu.Unlock()
-	for _, c := range list {
-		_ = c.Close()
-	}
+	return list
 }
 
 func (n *Network) cut(from, to string) bool {
@@ -236,6 +248,12 @@
 	return len(b), nil
 }
 
+func (h *half) silence() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silent = true
+}
+
 func (h *half) close() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -102,3 +102,131 @@
 		stopFleet(fleet)
 	})
 }
+
+// TestOlderVersion guards against a document that goes back to an older version.
+func TestOlderVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := startFleet(t, clustertest.NewNetwork(), 2)
+		defer stopFleet(fleet)
+		time.Sleep(5 * time.Second)
+		var seen []uint64
+		fleet[0].docs.Subscribe(func(name string, version uint64, _ []byte) {
+			seen = append(seen, version)
+			// A subscriber may publish; the change follows the current one.
+			if name == "a" && version == 3 {
+				fleet[0].docs.Publish("b", 30, nil)
+			}
+		})
+		for _, p := range []struct {
+			version uint64
+			ok      bool
+		}{{3, true}, {2, false}, {3, false}, {4, true}} {
+			if got := fleet[0].docs.Publish("a", p.version, nil); got != p.ok {
+				t.Errorf("publish of version %d returned %v, want %v", p.version, got, p.ok)
+			}
+		}
+		time.Sleep(time.Second)
+		if v, _ := fleet[1].docs.Get("a"); v != 4 {
+			t.Errorf("peer has version %d, want 4", v)
+		}
+		if fmt.Sprint(seen) != "[3 30 4]" {
+			t.Errorf("subscriber saw %v, want [3 30 4]", seen)
+		}
+		if got := fleet[0].docs.count.older.Count(); got != 1 {
+			t.Errorf("%d older versions counted, want 1", got)
+		}
+	})
+}
+
+// TestCatchUp guards against a daemon that stays behind after it was cut off while documents changed,
+// also when they do not fit into one reply.
+func TestCatchUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := clustertest.NewNetwork()
+		fleet := startFleet(t, n, 4)
+		defer stopFleet(fleet)
+		time.Sleep(5 * time.Second)
+		for _, d := range fleet[1:] {
+			n.CutBoth(fleet[0].address, d.address)
+		}
+		for i := range 6 {
+			fleet[1].docs.Publish(fmt.Sprint("part", i), 2, make([]byte, 700<<10))
+		}
+		// Long enough that packets no longer name the documents.
+		time.Sleep(3 * time.Second)
+		n.Heal()
+		time.Sleep(staleAfter + checkInterval + 2*syncTimeout)
+		for i := range 6 {
+			if v, content := fleet[0].docs.Get(fmt.Sprint("part", i)); v != 2 || len(content) != 700<<10 {
+				t.Errorf("part %d: version %d with %d bytes, want 2", i, v, len(content))
+			}
+		}
+	})
+}
+
+// TestLeave guards against a planned stop that returns before every member has stopped naming the
+// daemon, or that waits for ever for one that does not answer.
+func TestLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := clustertest.NewNetwork()
+		fleet := startFleet(t, n, 4)
+		defer stopFleet(fleet)
+		time.Sleep(5 * time.Second)
+		start := time.Now()
+		if err := fleet[3].members.Leave(t.Context()); err != nil {
+			t.Error(err)
+		}
+		if took := time.Since(start); took > time.Second {
+			t.Errorf("leave took %s with all members up", took)
+		}
+		for _, d := range fleet {
+			if got := len(d.members.Live()); got != 3 {
+				t.Errorf("%s sees %d live members after the leave, want 3", d.address, got)
+			}
+		}
+		n.CutBoth(fleet[0].address, fleet[2].address)
+		start = time.Now()
+		if err := fleet[2].members.Leave(t.Context()); err != nil {
+			t.Error(err)
+		}
+		if took := time.Since(start); took < 4*time.Second || took > 7*time.Second {
+			t.Errorf("leave took %s with one member cut off, want the suspicion timeout", took)
+		}
+		if got := len(fleet[0].members.Live()); got != 2 {
+			t.Errorf("the member that was cut off sees %d live members, want 2", got)
+		}
+	})
+}
+
+// BenchmarkPropagation measures, in virtual time, how long a new document version takes to reach all
+// daemons of a fleet, over a network without latency.
+func BenchmarkPropagation(b *testing.B) {
+	for _, count := range []int{8, 64, 390} {
+		b.Run(fmt.Sprintf("members=%d", count), func(b *testing.B) {
+			var total time.Duration
+			for range b.N {
+				// synctest needs a *testing.T; the benchmark only reports its result.
+				testing.RunTests(func(_, _ string) (bool, error) { return true, nil }, []testing.InternalTest{{
+					Name: b.Name(), F: func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) { total += propagate(t, count) })
+					},
+				}})
+			}
+			b.ReportMetric(total.Seconds()/float64(b.N), "s-virtual")
+		})
+	}
+}
+
+func propagate(t *testing.T, count int) time.Duration {
+	fleet := startFleet(t, clustertest.NewNetwork(), count)
+	defer stopFleet(fleet)
+	time.Sleep(20 * time.Second)
+	fleet[count/2].docs.Publish("config", 7, make([]byte, 10<<10))
+	start := time.Now()
+	for _, d := range fleet {
+		for v := uint64(0); v != 7; v, _ = d.docs.Get("config") {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return time.Since(start)
+}
