Test the endpoint kinds and the request path against faults

Cause: the account of an attempt (sent, not run, complete, crashed, timed out) decides whether a request may run again, and was not covered by tests.

Faults found by them: the stand-in's listener could accept a connection after a crash, and an answer in another form than a stream corrupted a stream that had begun with keep-alive comments. A non-idempotent attempt now goes on when its caller leaves.

--- /dev/null
+++ b/internal/dispatch/cancel_test.go
@@ -0,0 +1,124 @@
+package dispatch_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chivewind/chivewind/config"
+	enginestandin "github.com/chivewind/chivewind/internal/standin/engine"
+	"github.com/chivewind/chivewind/peer"
+)
+
+// Guards against capacity spent on callers that are gone: the engine must see the cancellation and the
+// scheduler get its slot back, and no other attempt may follow.
+func TestCallerGone(t *testing.T) {
+	p := newPath(t, setup{engine: enginestandin.Options{TokenTime: 5 * time.Millisecond}})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url+"/v1/chat/completions", strings.NewReader(chat("gone length=5000", true, "")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := bufio.NewReader(resp.Body).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	p.await(t)
+	if o := p.scheduler.outcomes(); !slices.Equal(o, []peer.Outcome{peer.Outcome_OUTCOME_CANCELED}) {
+		t.Errorf("slots ended with %v", o)
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for p.engines[0].RunsByPrompt(enginestandin.ChatPrompt("gone length=5000")).Canceled == 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("the engine did not see the cancellation")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against an attempt that goes on after the request's deadline, by the class or by the caller.
+func TestDeadline(t *testing.T) {
+	class := config.Class{Name: "quick", Tier: 1, Total: config.Duration(100 * time.Millisecond), Late: config.LateShed}
+	p := newPath(t, setup{engine: enginestandin.Options{TokenTime: 5 * time.Millisecond}, class: class})
+	r, body := p.post(t, "/v1/chat/completions", "", chat("late length=5000", false, ""))
+	if r.StatusCode != http.StatusGatewayTimeout || outcome(r) != "failed" {
+		t.Errorf("class: status %d, outcome %q, body %s", r.StatusCode, outcome(r), body)
+	}
+	class.Late = config.LateServe
+	p = newPath(t, setup{engine: enginestandin.Options{TokenTime: 5 * time.Millisecond}, class: class})
+	req, err := http.NewRequest(http.MethodPost, p.url+"/v1/chat/completions", strings.NewReader(chat("late length=5000", false, "")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Chivewind-Timeout", "50ms")
+	if r, body := do(t, req); r.StatusCode != http.StatusGatewayTimeout || outcome(r) != "failed" {
+		t.Errorf("caller: status %d, outcome %q, body %s", r.StatusCode, outcome(r), body)
+	}
+	if o := p.scheduler.outcomes(); !slices.Equal(o, []peer.Outcome{peer.Outcome_OUTCOME_CANCELED}) {
+		t.Errorf("slots ended with %v", o)
+	}
+}
+
+// Guards against a stream that hangs on an engine that has gone silent: it must continue elsewhere.
+func TestSilentEngine(t *testing.T) {
+	p := newPath(t, setup{interToken: 100 * time.Millisecond})
+	p.engines[0].SetFaults(enginestandin.Faults{SilentAfter: 4})
+	r, body := p.post(t, "/v1/chat/completions", "", chat("silent length=30", true, ""))
+	checkStream(t, parseStream(t, body), enginestandin.Answer(enginestandin.ChatPrompt("silent length=30"), 0))
+	if outcome(r) != "completed" || len(p.announcer.list()) != 0 {
+		t.Errorf("outcome %q, suspects %v", outcome(r), p.announcer.list())
+	}
+}
+
+// Guards against capacity spent on a caller that keeps its connection open and accepts no bytes.
+func TestStalledCaller(t *testing.T) {
+	p := newPath(t, setup{writeStall: 100 * time.Millisecond})
+	c, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	body := chat("stall length=1000000", true, "")
+	if _, err := fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(20 * time.Second)
+	for len(p.scheduler.outcomes()) == 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("the stalled request does not end")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if o := p.scheduler.outcomes(); o[0] != peer.Outcome_OUTCOME_CANCELED {
+		t.Errorf("slot ended with %v", o)
+	}
+}
+
+// Guards against a waiting stream that looks dead to its caller, and an error after the header that
+// would look like a whole answer.
+func TestKeepAlive(t *testing.T) {
+	p := newPath(t, setup{engine: enginestandin.Options{Prefill: 100 * time.Millisecond}, keepAlive: 20 * time.Millisecond})
+	r, body := p.post(t, "/v1/chat/completions", "", chat("wait", true, ""))
+	if !strings.HasPrefix(body, ": waiting\n\n") || outcome(r) != "completed" || !parseStream(t, body).done {
+		t.Errorf("outcome %q, body %s", outcome(r), body)
+	}
+	for _, e := range p.engines {
+		e.SetFaults(enginestandin.Faults{SilentAfter: 1})
+	}
+	r, body = p.post(t, "/v1/chat/completions", "", `{"model":"standin","stream":true,"prompt":5,"messages":[{"role":"user","content":"wait"}],"max_tokens":"x"}`)
+	if r.StatusCode != http.StatusBadRequest {
+		t.Errorf("status %d, body %s", r.StatusCode, body)
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -114,6 +114,9 @@
 	d.budgetMu.Lock()
 	d.budget.Request(time.Now(), r.Class.Name)
 	d.budgetMu.Unlock()
+	if r.NonIdempotent {
+		out = &tolerant{Response: out}
+	}
 	run := &run{d: d, r: r, fingerprint: fingerprint, relay: newRelay(r, out)}
 	run.suspect = d.suspects.crashes(fingerprint) > 0
 	if r.NonIdempotent {
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/chivewind/chivewind/modules/endpoint/plain"
 	"github.com/chivewind/chivewind/modules/front"
 	"github.com/chivewind/chivewind/peer"
+	"github.com/chivewind/chivewind/settings"
 )
 
 // fakeScheduler grants at once: the first endpoint of the pool that is not avoided.
@@ -188,6 +189,7 @@
 	interToken time.Duration
 	keepAlive  time.Duration
 	retry      retry.Options
+	writeStall time.Duration
 }
 
 func newPath(t testing.TB, s setup) *path {
@@ -236,7 +238,8 @@
 		Kinds:    map[config.PoolKind]endpoint.Kind{config.KindEngine: engine.New(), config.KindPlain: plain.New()},
 		MemberID: "daemon-1", Zone: "asahikawa", InterToken: s.interToken, Retry: s.retry,
 	})
-	p.front = front.New(front.Options{Dispatcher: p.dispatch, Snapshot: get, Zone: "asahikawa", KeepAlive: s.keepAlive})
+	p.front = front.New(front.Options{Dispatcher: p.dispatch, Snapshot: get, Zone: "asahikawa", KeepAlive: s.keepAlive,
+		Limits: settings.Limits{WriteStall: config.Duration(s.writeStall)}})
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = p.front.Server()
 	server.Start()
--- /dev/null
+++ b/internal/dispatch/openai_test.go
@@ -0,0 +1,94 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/chivewind/chivewind/internal/dispatch"
+	enginestandin "github.com/chivewind/chivewind/internal/standin/engine"
+)
+
+func (p *path) client() openai.Client {
+	return openai.NewClient(option.WithBaseURL(p.url+"/v1"), option.WithAPIKey("none"), option.WithMaxRetries(0))
+}
+
+func chatParams(content string) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:    "standin",
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage(content)},
+	}
+}
+
+// Guards against answers that a standard client library rejects, also when an engine crashes in
+// mid-stream: the library's accumulator refuses chunks with another id.
+func TestOpenAIClient(t *testing.T) {
+	p := newPath(t, setup{})
+	client := p.client()
+	for _, cut := range []int{0, 5} {
+		p.engines[0].SetFaults(enginestandin.Faults{CutAfter: cut})
+		want := enginestandin.Answer(enginestandin.ChatPrompt("hello length=20"), 0)
+
+		stream := client.Chat.Completions.NewStreaming(context.Background(), chatParams("hello length=20"))
+		var acc openai.ChatCompletionAccumulator
+		for stream.Next() {
+			if !acc.AddChunk(stream.Current()) {
+				t.Fatal("the accumulator refused a chunk")
+			}
+		}
+		if stream.Err() != nil || len(acc.Choices) != 1 || acc.Choices[0].Message.Content != want || acc.Choices[0].FinishReason != "stop" {
+			t.Errorf("cut after %d: stream: %v, %+v", cut, stream.Err(), acc.Choices)
+		}
+
+		whole, err := client.Chat.Completions.New(context.Background(), chatParams("hello length=20"))
+		if err != nil || whole.Choices[0].Message.Content != want || whole.Usage.CompletionTokens != 20 {
+			t.Errorf("cut after %d: whole: %v, %+v", cut, err, whole)
+		}
+
+		text, err := client.Completions.New(context.Background(), openai.CompletionNewParams{
+			Model: "standin", Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("hello length=20")},
+		})
+		if err != nil || text.Choices[0].Text != enginestandin.Answer("hello length=20", 0) {
+			t.Errorf("cut after %d: completion: %v", cut, err)
+		}
+	}
+	models, err := client.Models.List(context.Background())
+	if err != nil || len(models.Data) != 1 || models.Data[0].ID != "standin" {
+		t.Errorf("models: %v, %+v", err, models)
+	}
+}
+
+// Guards against errors that the client library cannot read, and against a stream that is cut without
+// an error: the library must not take it for whole.
+func TestOpenAIClientErrors(t *testing.T) {
+	p := newPath(t, setup{})
+	client := p.client()
+	p.scheduler.shed = &dispatch.ShedError{Reason: "overload", RetryAfter: 1500 * time.Millisecond}
+	_, err := client.Chat.Completions.New(context.Background(), chatParams("hello"))
+	var api *openai.Error
+	if !errors.As(err, &api) || api.StatusCode != http.StatusServiceUnavailable || api.Code != dispatch.CodeOverloaded || api.Response.Header.Get("Retry-After") != "2" {
+		t.Fatalf("shed: %v", err)
+	}
+	p.scheduler.shed = nil
+	for _, e := range p.engines {
+		e.SetFaults(enginestandin.Faults{CutAfter: 3})
+	}
+	stream := client.Chat.Completions.NewStreaming(context.Background(), chatParams("cut length=30"))
+	tokens := 0
+	for stream.Next() {
+		tokens++
+	}
+	if stream.Err() == nil || !strings.Contains(stream.Err().Error(), "crashed repeatedly") {
+		t.Errorf("cut stream: %v after %d chunks", stream.Err(), tokens)
+	}
+	r, body := p.post(t, "/v1/chat/completions", "", chat("cut again length=30", true, ""))
+	if s := parseStream(t, body); s.done || s.error == "" || outcome(r) != "failed" {
+		t.Errorf("cut stream: outcome %q, got %+v", outcome(r), s)
+	}
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -57,6 +57,34 @@
 	Flush() error
 }
 
+// tolerant hides that the caller is gone: a non-idempotent attempt goes on, because its record must
+// get the outcome.
+type tolerant struct {
+	Response
+	gone bool
+}
+
+// Start implements Response.
+func (t *tolerant) Start(status int, header http.Header, outcome Outcome) error {
+	t.gone = t.gone || t.Response.Start(status, header, outcome) != nil
+	return nil
+}
+
+// Write implements Response.
+func (t *tolerant) Write(p []byte) (int, error) {
+	if !t.gone {
+		_, err := t.Response.Write(p)
+		t.gone = err != nil
+	}
+	return len(p), nil
+}
+
+// Flush implements Response.
+func (t *tolerant) Flush() error {
+	t.gone = t.gone || t.Response.Flush() != nil
+	return nil
+}
+
 // Error is the answer to a request that has no whole answer of an endpoint.
 type Error struct {
 	Status     int
--- /dev/null
+++ b/internal/poison/poison_test.go
@@ -0,0 +1,73 @@
+package poison
+
+import (
+	"strconv"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against a poisonous request that is not recognized, and an innocent one that is stopped
+// because one crash was counted several times, was cleared or is long past.
+func TestCrashes(t *testing.T) {
+	type add struct {
+		at       time.Duration
+		endpoint string
+		id       string
+	}
+	cases := []struct {
+		desc  string
+		adds  []add
+		clear bool
+		again *add
+		at    time.Duration
+		want  int
+	}{
+		{desc: "two endpoints", adds: []add{{0, "a", "1"}, {time.Second, "b", "2"}}, at: time.Second, want: 2},
+		{desc: "same crash id reported twice", adds: []add{{0, "a", "1"}, {time.Minute, "a", "1"}}, at: time.Minute, want: 1},
+		{desc: "one crash seen by two copies", adds: []add{{0, "a", "1"}, {time.Second, "a", "2"}}, at: time.Second, want: 1},
+		{desc: "one endpoint crashes twice", adds: []add{{0, "a", "1"}, {4 * time.Second, "a", "2"}}, at: 4 * time.Second, want: 2},
+		{desc: "expired", adds: []add{{0, "a", "1"}, {time.Minute, "b", "2"}}, at: Expiry, want: 1},
+		{desc: "cleared", adds: []add{{0, "a", "1"}, {0, "b", "2"}}, clear: true, want: 0},
+		{desc: "reported again after it was cleared", adds: []add{{0, "a", "1"}}, clear: true, again: &add{time.Minute, "a", "1"}, at: time.Minute, want: 0},
+		{desc: "crash after it was cleared", adds: []add{{0, "a", "1"}}, clear: true, again: &add{time.Minute, "b", "2"}, at: time.Minute, want: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			table := New(0)
+			f := Of("registry", []byte("body"))
+			for _, a := range c.adds {
+				table.Add(start.Add(a.at), f, a.endpoint, a.id)
+			}
+			if c.clear {
+				table.Clear(f)
+			}
+			if c.again != nil {
+				table.Add(start.Add(c.again.at), f, c.again.endpoint, c.again.id)
+			}
+			if got := table.Crashes(start.Add(c.at), f); got != c.want {
+				t.Errorf("%d crashes, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a table that grows without bound, and one that forgets the newest suspects.
+func TestBounded(t *testing.T) {
+	table := New(10)
+	for i := range 100 {
+		table.Add(start.Add(time.Duration(i)*time.Second), Fingerprint(i), "a", strconv.Itoa(i))
+	}
+	now := start.Add(100 * time.Second)
+	if table.Len() > 10 || table.Crashes(now, 99) != 1 || table.Crashes(now, 0) != 0 {
+		t.Errorf("%d entries, newest %d, oldest %d", table.Len(), table.Crashes(now, 99), table.Crashes(now, 0))
+	}
+}
+
+// Guards against equal fingerprints of different workspaces' requests.
+func TestFingerprint(t *testing.T) {
+	if Of("a", []byte("bc")) == Of("ab", []byte("c")) {
+		t.Error("workspace and body run together")
+	}
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,76 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against a second run of a non-idempotent request.
+func TestSafe(t *testing.T) {
+	cases := []struct {
+		desc string
+		f    Failure
+		want bool
+	}{
+		{"idempotent, not started", Failure{}, true},
+		{"idempotent, started", Failure{Started: true}, true},
+		{"non-idempotent, not started", Failure{NonIdempotent: true}, true},
+		{"non-idempotent, started", Failure{NonIdempotent: true, Started: true}, false},
+	}
+	for _, c := range cases {
+		if got := Safe(c.f); got != c.want {
+			t.Errorf("%s: %v, want %v", c.desc, got, c.want)
+		}
+	}
+}
+
+// Guards against work on an answer that must come too late.
+func TestUseful(t *testing.T) {
+	cases := []struct {
+		desc     string
+		deadline time.Time
+		need     time.Duration
+		want     bool
+	}{
+		{"no deadline", time.Time{}, time.Hour, true},
+		{"time enough", start.Add(time.Second), 500 * time.Millisecond, true},
+		{"too late for the need", start.Add(time.Second), 2 * time.Second, false},
+		{"too late for anything", start.Add(10 * time.Millisecond), 0, false},
+		{"past", start.Add(-time.Second), 0, false},
+	}
+	for _, c := range cases {
+		if got := Useful(start, c.deadline, c.need); got != c.want {
+			t.Errorf("%s: %v, want %v", c.desc, got, c.want)
+		}
+	}
+}
+
+// Guards against a retry storm, by one class or by all together, and against a budget that does not
+// recover.
+func TestBudget(t *testing.T) {
+	take := func(b *Budget, at time.Duration, class string, n int) int {
+		taken := 0
+		for range n {
+			if b.Take(start.Add(at), class) {
+				taken++
+			}
+		}
+		return taken
+	}
+	b := NewBudget(Options{Reserve: 5})
+	for i := range 1000 {
+		b.Request(start.Add(time.Duration(i)*time.Millisecond), "quick")
+	}
+	b.Request(start, "slow")
+	if got := take(b, time.Second, "slow", 50); got != 5 {
+		t.Errorf("a class with one request got %d retries, want the reserve of 5", got)
+	}
+	if got := take(b, time.Second, "quick", 500); got != 95 {
+		t.Errorf("a class with 1000 of 1001 requests got %d retries, want the total's remaining 95", got)
+	}
+	if got := take(b, Window+2*time.Second, "quick", 50); got != 5 {
+		t.Errorf("after the window: %d retries, want the reserve of 5", got)
+	}
+}
--- a/internal/standin/crashserver/server.go
+++ b/internal/standin/crashserver/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -14,23 +15,31 @@
 
 // Server is an HTTP server on a fixed address that can crash and come back.
 type Server struct {
-	handler http.Handler
-	address string
+	handler  http.Handler
+	address  string
+	reserved int
 
 	mu     sync.Mutex
 	server *http.Server
-	conns  map[net.Conn]bool
-	closed bool
-	revive *time.Timer
+	// listener is closed by Crash itself, because the server may not have begun to serve it.
+	listener net.Listener
+	conns    map[net.Conn]bool
+	closed   bool
+	revive   *time.Timer
 }
 
 // Listen starts a server. An address with port 0 gets a free port, which it keeps.
 func Listen(address string, h http.Handler) (*Server, error) {
-	l, err := net.Listen("tcp", address)
+	fd, bound, err := reserve(address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{handler: h, address: l.Addr().String()}
+	l, err := net.Listen("tcp", bound)
+	if err != nil {
+		_ = syscall.Close(fd)
+		return nil, err
+	}
+	s := &Server{handler: h, address: bound, reserved: fd}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.serve(l)
@@ -47,6 +56,7 @@
 func (s *Server) serve(l net.Listener) {
 	conns := map[net.Conn]bool{}
 	s.conns = conns
+	s.listener = l
 	s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: time.Minute, ConnState: func(c net.Conn, state http.ConnState) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -66,6 +76,9 @@
 	s.mu.Lock()
 	server := s.server
 	s.server = nil
+	if server != nil {
+		_ = s.listener.Close()
+	}
 	for c := range s.conns {
 		Reset(c)
 	}
@@ -101,12 +114,17 @@
 // Close stops the server.
 func (s *Server) Close() {
 	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
 	s.closed = true
 	if s.revive != nil {
 		s.revive.Stop()
 	}
 	s.mu.Unlock()
 	s.Crash(0)
+	_ = syscall.Close(s.reserved)
 }
 
 // Reset makes the close of a connection visible as a reset, as after a crash of the process.
--- a/internal/standin/engine/admin.go
+++ b/internal/standin/engine/admin.go
@@ -1,10 +1,11 @@
 package engine
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/chivewind/chivewind/internal/standin/crashserver"
 )
 
 // report is the load at a time in the past.
@@ -42,27 +43,7 @@
 		BetweenTokensUS: rep.betweenTokens.Microseconds(),
 	}
 	body.CacheSequence, body.CacheAdded, body.CacheRemoved = e.cache.after(after)
-	writeJSON(w, body)
-}
-
-func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		fail(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	e.SetFaults(f)
-	w.WriteHeader(http.StatusNoContent)
-}
-
-// serveCrash crashes the engine for the time in the query parameter down, for example 2s.
-func (e *Engine) serveCrash(w http.ResponseWriter, r *http.Request) {
-	down, err := time.ParseDuration(r.URL.Query().Get("down"))
-	if err != nil {
-		fail(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	e.Crash(down)
+	crashserver.WriteJSON(w, body)
 }
 
 // runsJSON is the JSON form of GET /admin/runs.
@@ -74,17 +55,6 @@
 
 func (e *Engine) serveRuns(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	raw, err := json.Marshal(runsJSON{ByID: e.byID, ByPrompt: e.byPrompt, Mismatches: e.mismatches})
-	e.mu.Unlock()
-	if err != nil {
-		fail(w, http.StatusInternalServerError, err.Error())
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(raw)
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	defer e.mu.Unlock()
+	crashserver.WriteJSON(w, runsJSON{ByID: e.byID, ByPrompt: e.byPrompt, Mismatches: e.mismatches})
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -81,6 +81,9 @@
 	Times int `json:"times,omitempty"`
 }
 
+// Requests implements crashserver.Limited.
+func (f Faults) Requests() int { return f.Times }
+
 // Run counts what the engine did for one request id or prompt.
 type Run struct {
 	// Started counts attempts that began to run, Completed those that were sent whole.
@@ -101,8 +104,9 @@
 	batch  *batch
 	cache  *prefixCache
 
+	faults crashserver.Faults[Faults]
+
 	mu       sync.Mutex
-	faults   Faults
 	byID     map[string]Run
 	byPrompt map[string]Run
 	// mismatches counts continued requests whose partial answer was not the engine's own.
@@ -121,8 +125,8 @@
 	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.serve(w, r, true) })
 	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.serve(w, r, false) })
 	mux.HandleFunc("GET /load", e.serveLoad)
-	mux.HandleFunc("POST /admin/faults", e.serveFaults)
-	mux.HandleFunc("POST /admin/crash", e.serveCrash)
+	mux.Handle("POST /admin/faults", &e.faults)
+	mux.HandleFunc("POST /admin/crash", crashserver.CrashHandler(e.Crash))
 	mux.HandleFunc("GET /admin/runs", e.serveRuns)
 	var err error
 	e.server, err = crashserver.Listen(o.Address, mux)
@@ -148,31 +152,12 @@
 func (e *Engine) Revive() error { return e.server.Revive() }
 
 // SetFaults replaces the fault switches.
-func (e *Engine) SetFaults(f Faults) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.faults = f
-}
-
-// requestFaults returns the faults for a new request.
-func (e *Engine) requestFaults() Faults {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	f := e.faults
-	if f.Times > 0 {
-		e.faults.Times--
-		if e.faults.Times == 0 {
-			e.faults = Faults{}
-		}
-	}
-	return f
-}
+func (e *Engine) SetFaults(f Faults) { e.faults.Set(f) }
 
-// silent and slowdown apply to running requests too.
+// current returns the faults that apply to running requests too.
 func (e *Engine) current() (silent bool, slowdown float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.faults.Silent, max(e.faults.Slowdown, 1)
+	f := e.faults.Current()
+	return f.Silent, max(f.Slowdown, 1)
 }
 
 // RunsByID returns the counts for a value of X-Request-Id.
--- a/internal/standin/engine/output.go
+++ b/internal/standin/engine/output.go
@@ -32,7 +32,9 @@
 				return false
 			}
 		}
-		if !c.continues(*tokens, flush) {
+		if c.interrupted(*tokens) {
+			_ = flush.Flush()
+			c.interrupt()
 			return false
 		}
 	}
@@ -54,19 +56,19 @@
 	return err == nil && flush.Flush() == nil
 }
 
-// continues applies the faults in mid-stream.
-func (c *call) continues(tokens int, flush *http.ResponseController) bool {
-	switch f := c.faults; {
-	case f.CutAfter > 0 && tokens >= f.CutAfter:
-		_ = flush.Flush()
+// interrupted says whether a fault ends the attempt after a number of tokens.
+func (c *call) interrupted(tokens int) bool {
+	f := c.faults
+	return f.CutAfter > 0 && tokens >= f.CutAfter || f.SilentAfter > 0 && tokens >= f.SilentAfter
+}
+
+// interrupt resets the connection, or sends nothing more.
+func (c *call) interrupt() {
+	if c.faults.CutAfter > 0 {
 		crashserver.Abort(c.w)
-		return false
-	case f.SilentAfter > 0 && tokens >= f.SilentAfter:
-		_ = flush.Flush()
-		<-c.r.Context().Done()
-		return false
+		return
 	}
-	return true
+	<-c.r.Context().Done()
 }
 
 // event sends one chunk. A token's number is its SSE id.
@@ -126,7 +128,8 @@
 		}
 		text.WriteString(token(c.hash, i))
 		*tokens++
-		if !c.continues(*tokens, http.NewResponseController(c.w)) {
+		if c.interrupted(*tokens) {
+			c.interrupt()
 			return false
 		}
 	}
@@ -144,6 +147,7 @@
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	if c.faults.Truncate {
 		_, _ = c.w.Write([]byte(answer[:len(answer)/2]))
+		_ = http.NewResponseController(c.w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, err := c.w.Write([]byte(answer))
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -39,7 +39,7 @@
 }
 
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request, chat bool) {
-	c := &call{e: e, w: w, r: r, chat: chat, id: r.Header.Get(endpoint.HeaderRequestID), faults: e.requestFaults()}
+	c := &call{e: e, w: w, r: r, chat: chat, id: r.Header.Get(endpoint.HeaderRequestID), faults: e.faults.Take()}
 	if !c.accept() {
 		return
 	}
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -50,6 +50,9 @@
 	Times int `json:"times,omitempty"`
 }
 
+// Requests implements crashserver.Limited.
+func (f Faults) Requests() int { return f.Times }
+
 // Answer is the JSON form of an answer.
 type Answer struct {
 	Service string `json:"service"`
@@ -68,10 +71,11 @@
 	o      Options
 	server *crashserver.Server
 
-	mu     sync.Mutex
-	faults Faults
-	byKey  map[string]int
-	byID   map[string]int
+	faults crashserver.Faults[Faults]
+
+	mu    sync.Mutex
+	byKey map[string]int
+	byID  map[string]int
 }
 
 // Start starts a service.
@@ -82,9 +86,9 @@
 	s := &Service{o: o, byKey: map[string]int{}, byID: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", s.serve)
-	mux.HandleFunc("POST /admin/faults", s.serveFaults)
+	mux.Handle("POST /admin/faults", &s.faults)
 	mux.HandleFunc("GET /admin/runs", s.serveRuns)
-	mux.HandleFunc("POST /admin/crash", s.serveCrash)
+	mux.HandleFunc("POST /admin/crash", crashserver.CrashHandler(s.Crash))
 	var err error
 	s.server, err = crashserver.Listen(o.Address, mux)
 	if err != nil {
@@ -106,11 +110,7 @@
 func (s *Service) Revive() error { return s.server.Revive() }
 
 // SetFaults replaces the fault switches.
-func (s *Service) SetFaults(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
+func (s *Service) SetFaults(f Faults) { s.faults.Set(f) }
 
 // RunsByKey returns the number of runs with an Idempotency-Key.
 func (s *Service) RunsByKey(key string) int {
@@ -126,19 +126,6 @@
 	return s.byID[id]
 }
 
-func (s *Service) requestFaults() Faults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f := s.faults
-	if f.Times > 0 {
-		s.faults.Times--
-		if s.faults.Times == 0 {
-			s.faults = Faults{}
-		}
-	}
-	return f
-}
-
 // run counts a run and returns its number among those with the same key.
 func (s *Service) run(key, id string) int {
 	s.mu.Lock()
@@ -154,7 +141,7 @@
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
-	f := s.requestFaults()
+	f := s.faults.Take()
 	if f.Refuse {
 		w.Header().Set(endpoint.HeaderNotRun, "true")
 		w.Header().Set("Retry-After", "1")
@@ -208,31 +195,12 @@
 	}
 	if f.Truncate {
 		_, _ = w.Write(raw[:len(raw)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(raw)
 }
 
-func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-	w.WriteHeader(http.StatusNoContent)
-}
-
-// serveCrash crashes the service for the time in the query parameter down, for example 2s.
-func (s *Service) serveCrash(w http.ResponseWriter, r *http.Request) {
-	down, err := time.ParseDuration(r.URL.Query().Get("down"))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.Crash(down)
-}
-
 // runsJSON is the JSON form of GET /admin/runs.
 type runsJSON struct {
 	ByKey map[string]int `json:"by_key"`
@@ -241,12 +209,6 @@
 
 func (s *Service) serveRuns(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	raw, err := json.Marshal(runsJSON{ByKey: s.byKey, ByID: s.byID})
-	s.mu.Unlock()
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(raw)
+	defer s.mu.Unlock()
+	crashserver.WriteJSON(w, runsJSON{ByKey: s.byKey, ByID: s.byID})
 }
--- a/modules/endpoint/plain/plain.go
+++ b/modules/endpoint/plain/plain.go
@@ -55,6 +55,10 @@
 	}
 	endpoint.CopyHeader(req.Header, a.Request.Header)
 	req.Header.Del("Authorization")
+	if req.Header.Get("User-Agent") == "" {
+		// An empty value keeps the transport from adding its own.
+		req.Header.Set("User-Agent", "")
+	}
 	req.Header.Set(endpoint.HeaderRequestID, a.Request.ID)
 	req.Header.Set(endpoint.HeaderWorkspace, a.Request.Workspace)
 	t, r := endpoint.Begin(ctx, k.client, req, a, a.Request.NonIdempotent || a.Number > 1)
--- /dev/null
+++ b/modules/endpoint/plain/plain_test.go
@@ -0,0 +1,164 @@
+package plain_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/endpoint"
+	standin "github.com/chivewind/chivewind/internal/standin/plain"
+	"github.com/chivewind/chivewind/modules/endpoint/plain"
+	"github.com/chivewind/chivewind/peer"
+)
+
+type recorder struct {
+	status int
+	header http.Header
+	body   bytes.Buffer
+}
+
+func (r *recorder) Head(status int, h http.Header) error {
+	r.status = status
+	r.header = h
+	return nil
+}
+
+func (r *recorder) Body(p []byte) error {
+	r.body.Write(p)
+	return nil
+}
+
+func (r *recorder) Event(endpoint.Event) error { return nil }
+func (r *recorder) Flush() error               { return nil }
+
+func attempt(url, method, body string) *endpoint.Attempt {
+	return &endpoint.Attempt{
+		Request: &endpoint.Request{
+			ID: "request-1", Workspace: "registry", Method: method, Path: "/services/fees/a%2Fb", RawQuery: "year=2026",
+			Header: http.Header{"Idempotency-Key": {"key-1"}, "Authorization": {"Bearer secret"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
+			Body:   []byte(body), NonIdempotent: method == http.MethodPost,
+		},
+		Endpoint: config.Endpoint{ID: "fees-1", URL: url}, Number: 1,
+		FirstToken: 150 * time.Millisecond, BetweenTokens: 150 * time.Millisecond,
+	}
+}
+
+// Guards against a wrong account of an attempt, from which a second run of a non-idempotent request
+// or a false "not run" would follow.
+func TestContract(t *testing.T) {
+	cases := []struct {
+		desc    string
+		faults  standin.Faults
+		down    bool
+		want    endpoint.Result
+		outcome peer.Outcome
+		runs    int
+	}{
+		{desc: "answer", want: endpoint.Result{Sent: true, Complete: true, Status: 200}, outcome: peer.Outcome_OUTCOME_COMPLETED, runs: 1},
+		{desc: "error of the service", faults: standin.Faults{Status: 500}, want: endpoint.Result{Sent: true, Complete: true, Status: 500}, outcome: peer.Outcome_OUTCOME_FAILED, runs: 1},
+		{desc: "refusal of the service", faults: standin.Faults{Status: 404}, want: endpoint.Result{Sent: true, Complete: true, Status: 404}, outcome: peer.Outcome_OUTCOME_COMPLETED, runs: 1},
+		{desc: "connection refused", down: true, want: endpoint.Result{}, outcome: peer.Outcome_OUTCOME_NOT_SENT},
+		{desc: "503 not run", faults: standin.Faults{Refuse: true}, want: endpoint.Result{Sent: true, NotRun: true, Status: 503, RetryAfter: time.Second}, outcome: peer.Outcome_OUTCOME_REFUSED},
+		{desc: "crash before the run", faults: standin.Faults{CutBeforeRun: true}, want: endpoint.Result{Sent: true, Crashed: true}, outcome: peer.Outcome_OUTCOME_CRASHED},
+		{desc: "crash after the run", faults: standin.Faults{CutAfterRun: true}, want: endpoint.Result{Sent: true, Crashed: true}, outcome: peer.Outcome_OUTCOME_CRASHED, runs: 1},
+		{desc: "silence after the run", faults: standin.Faults{Silent: true}, want: endpoint.Result{Sent: true, Timeout: endpoint.TimeoutFirstToken}, outcome: peer.Outcome_OUTCOME_FAILED, runs: 1},
+		{desc: "slow within the limit", faults: standin.Faults{DelayMS: 20}, want: endpoint.Result{Sent: true, Complete: true, Status: 200}, outcome: peer.Outcome_OUTCOME_COMPLETED, runs: 1},
+		{desc: "truncated answer", faults: standin.Faults{Truncate: true}, want: endpoint.Result{Sent: true, Crashed: true, Status: 200}, outcome: peer.Outcome_OUTCOME_CRASHED, runs: 1},
+	}
+	for _, c := range cases {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(c.desc+" "+method, func(t *testing.T) {
+				t.Parallel()
+				s, err := standin.Start(standin.Options{Name: "fees"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer s.Close()
+				s.SetFaults(c.faults)
+				if c.down {
+					s.Crash(0)
+				}
+				r := &recorder{}
+				got := plain.New().Do(context.Background(), attempt(s.URL(), method, "body"), r)
+				got.Err = nil
+				got.FirstTokenAfter = 0
+				if got != c.want || got.Outcome() != c.outcome {
+					t.Errorf("got %+v, %v\nwant %+v, %v", got, got.Outcome(), c.want, c.outcome)
+				}
+				if runs := s.RunsByKey("key-1"); runs != c.runs {
+					t.Errorf("ran %d times, want %d", runs, c.runs)
+				}
+			})
+		}
+	}
+}
+
+// Guards against altered requests: path, query and body as they are, no single-hop headers, and the
+// caller's key kept from the service.
+func TestPassedAsIs(t *testing.T) {
+	var seen *http.Request
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { seen = r }))
+	defer server.Close()
+	if got := plain.New().Do(context.Background(), attempt(server.URL, http.MethodPut, "body"), &recorder{}); !got.Complete {
+		t.Fatalf("got %+v", got)
+	}
+	h := seen.Header
+	if seen.URL.EscapedPath() != "/services/fees/a%2Fb" || seen.URL.RawQuery != "year=2026" || seen.ContentLength != 4 {
+		t.Errorf("got %s, length %d", seen.URL, seen.ContentLength)
+	}
+	if h.Get("Authorization") != "" || h.Get("X-Hop") != "" || h.Get("User-Agent") != "" {
+		t.Errorf("headers passed on: %v", h)
+	}
+	if h.Get("X-Request-Id") != "request-1" || h.Get("X-Chivewind-Workspace") != "registry" || h.Get("Idempotency-Key") != "key-1" {
+		t.Errorf("headers missing: %v", h)
+	}
+}
+
+// Guards against the repetition by the HTTP client of a request whose pooled connection the service
+// closes instead of answering.
+func TestClientNeverRepeats(t *testing.T) {
+	var arrived atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if arrived.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	k := plain.New()
+	a := attempt(server.URL, http.MethodGet, "")
+	if got := k.Do(context.Background(), a, &recorder{}); !got.Complete {
+		t.Fatalf("first request: %+v", got)
+	}
+	got := k.Do(context.Background(), a, &recorder{})
+	if !got.Sent || got.Complete || got.Crashed {
+		t.Errorf("second request on the pooled connection: %+v", got)
+	}
+	if n := arrived.Load(); n != 2 {
+		t.Errorf("%d requests arrived, want 2", n)
+	}
+}
+
+// Guards against an answer without a length or an end marker that is taken for whole when its
+// connection closes.
+func TestLengthUnknown(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, buf, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = buf.WriteString("HTTP/1.0 200 OK\r\n\r\nhalf an ans")
+		_ = buf.Flush()
+		_ = c.Close()
+	}))
+	defer server.Close()
+	got := plain.New().Do(context.Background(), attempt(server.URL, http.MethodGet, ""), &recorder{})
+	if got.Complete || got.Err == nil || !strings.Contains(got.Err.Error(), "neither") {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/modules/front/front.go
+++ b/modules/front/front.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/chivewind/chivewind/endpoint"
 	"github.com/chivewind/chivewind/internal/cluster"
 	"github.com/chivewind/chivewind/internal/dispatch"
+	"github.com/chivewind/chivewind/peer"
 	"github.com/chivewind/chivewind/settings"
 )
 
@@ -40,6 +42,8 @@
 	DefaultEntryValidity             = 10 * time.Second
 	// DefaultKeepAlive is the pause after which a waiting stream receives a comment.
 	DefaultKeepAlive = 10 * time.Second
+	// apiPrefix is the prefix of the API's own paths.
+	apiPrefix = "/v1/"
 	// bodyTimeout bounds the time to read a request's body.
 	bodyTimeout = 30 * time.Second
 )
@@ -90,9 +94,9 @@
 	f := &Front{o: o, mux: http.NewServeMux()}
 	f.mux.HandleFunc("GET /v1/entry", f.serveEntry)
 	f.mux.HandleFunc("GET /v1/models", f.serveModels)
-	f.mux.HandleFunc("POST "+dispatch.PathChatCompletions, f.serveModel)
-	f.mux.HandleFunc("POST "+dispatch.PathCompletions, f.serveModel)
-	f.mux.HandleFunc("/", f.servePlain)
+	f.mux.HandleFunc("POST "+dispatch.PathChatCompletions, f.serve(f.modelRequest))
+	f.mux.HandleFunc("POST "+dispatch.PathCompletions, f.serve(f.modelRequest))
+	f.mux.HandleFunc(apiPrefix, f.serve(f.plainRequest))
 	return f
 }
 
@@ -128,6 +132,7 @@
 
 // Handler returns the callers' API.
 func (f *Front) Handler() http.Handler {
+	plain := f.serve(f.plainRequest)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.inFlight.Add(1)
 		defer f.leave()
@@ -135,7 +140,12 @@
 			// The caller's next request then goes to another entry address.
 			w.Header().Set("Connection", "close")
 		}
-		f.mux.ServeHTTP(w, r)
+		if strings.HasPrefix(r.URL.Path, apiPrefix) {
+			f.mux.ServeHTTP(w, r)
+			return
+		}
+		// A ServeMux would redirect unusual paths instead of passing them on.
+		plain(w, r)
 	})
 }
 
@@ -144,13 +154,7 @@
 	if f.o.Members == nil {
 		return false
 	}
-	self := f.o.Members.Self()
-	for _, m := range f.o.Members.Live() {
-		if m.Id == self.Id {
-			return false
-		}
-	}
-	return true
+	return f.o.Members.Self().State == peer.MemberState_MEMBER_STATE_LEAVING
 }
 
 // InFlight returns the number of requests in progress.
--- a/modules/front/model.go
+++ b/modules/front/model.go
@@ -41,21 +41,7 @@
 	Content json.RawMessage `json:"content"`
 }
 
-// serveModel runs a chat completion or a completion.
-func (f *Front) serveModel(w http.ResponseWriter, r *http.Request) {
-	arrival := time.Now()
-	id := requestID(r)
-	w.Header().Set(HeaderRequestID, id)
-	req, e := f.modelRequest(w, r)
-	if e != nil {
-		writeError(w, e, dispatch.NotRun)
-		return
-	}
-	req.ID = id
-	req.Arrival = arrival
-	f.run(w, r, req)
-}
-
+// modelRequest resolves a chat completion or a completion.
 func (f *Front) modelRequest(w http.ResponseWriter, r *http.Request) (*dispatch.Request, *dispatch.Error) {
 	s, workspace, e := f.admit(r)
 	if e != nil {
--- a/modules/front/plain.go
+++ b/modules/front/plain.go
@@ -3,33 +3,22 @@
 import (
 	"net/http"
 	"slices"
-	"time"
+	"strings"
 
 	"github.com/chivewind/chivewind/config"
 	"github.com/chivewind/chivewind/endpoint"
 	"github.com/chivewind/chivewind/internal/dispatch"
 )
 
-// servePlain runs a call of a plain service.
-func (f *Front) servePlain(w http.ResponseWriter, r *http.Request) {
-	arrival := time.Now()
-	id := requestID(r)
-	w.Header().Set(HeaderRequestID, id)
-	req, e := f.plainRequest(w, r)
-	if e != nil {
-		writeError(w, e, dispatch.NotRun)
-		return
-	}
-	req.ID = id
-	req.Arrival = arrival
-	f.run(w, r, req)
-}
-
+// plainRequest resolves a call of a plain service.
 func (f *Front) plainRequest(w http.ResponseWriter, r *http.Request) (*dispatch.Request, *dispatch.Error) {
 	s, workspace, e := f.admit(r)
 	if e != nil {
 		return nil, e
 	}
+	if hasDotSegment(r.URL.Path) {
+		return nil, refusal(http.StatusBadRequest, codeInvalidRequest, "the path has a . or .. segment")
+	}
 	route, ok := s.RouteFor(r.URL.Path)
 	pool := s.Pools[route.Pool]
 	if !ok || pool.Kind != config.KindPlain {
@@ -56,3 +45,13 @@
 	}
 	return req, nil
 }
+
+// hasDotSegment says whether a service could read the path as that of another route.
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
--- a/modules/front/response.go
+++ b/modules/front/response.go
@@ -1,10 +1,12 @@
 package front
 
 import (
+	"bytes"
 	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +31,29 @@
 	// written is the time of the dispatcher's last write, deadlineSet that of the write deadline.
 	written     time.Time
 	deadlineSet time.Time
+	// wrapped holds an answer that is not a stream and came after the stream's header was sent.
+	wrapped *wrapped
+}
+
+// wrapped is an answer that is sent as one event.
+type wrapped struct {
+	status int
+	body   bytes.Buffer
+}
+
+// event returns the answer as an event.
+func (a *wrapped) event() []byte {
+	var out bytes.Buffer
+	if a.status >= http.StatusBadRequest {
+		out.WriteString("event: error\n")
+	}
+	out.WriteString("data: ")
+	if json.Compact(&out, a.body.Bytes()) != nil {
+		raw, _ := json.Marshal(a.body.String())
+		out.Write(raw)
+	}
+	out.WriteString("\n\n")
+	return out.Bytes()
 }
 
 var _ dispatch.Response = (*response)(nil)
@@ -38,6 +63,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.started {
+		if !strings.HasPrefix(header.Get("Content-Type"), "text/event-stream") {
+			s.wrapped = &wrapped{status: status}
+		}
 		return nil
 	}
 	s.start(status, header, outcome)
@@ -67,6 +95,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.written = s.extend()
+	if s.wrapped != nil {
+		return s.wrapped.body.Write(p)
+	}
 	return s.w.Write(p)
 }
 
@@ -115,6 +146,8 @@
 	case res.Err != nil && !s.started:
 		writeError(s.w, res.Err, res.Outcome)
 		return
+	case s.wrapped != nil && res.Err == nil:
+		_, _ = s.w.Write(s.wrapped.event())
 	case res.Err != nil && s.stream:
 		raw, err := json.Marshal(errorOf(res.Err, res.Outcome))
 		if err == nil {
--- a/modules/front/run.go
+++ b/modules/front/run.go
@@ -8,6 +8,26 @@
 	"github.com/chivewind/chivewind/internal/dispatch"
 )
 
+// resolver checks a caller's request and finds its workspace, class and pool.
+type resolver func(http.ResponseWriter, *http.Request) (*dispatch.Request, *dispatch.Error)
+
+// serve returns the handler of the requests that a resolver accepts.
+func (f *Front) serve(resolve resolver) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		arrival := time.Now()
+		id := requestID(r)
+		w.Header().Set(HeaderRequestID, id)
+		req, e := resolve(w, r)
+		if e != nil {
+			writeError(w, e, dispatch.NotRun)
+			return
+		}
+		req.ID = id
+		req.Arrival = arrival
+		f.run(w, r, req)
+	}
+}
+
 // run hands a request to the dispatcher and ends the caller's answer.
 func (f *Front) run(w http.ResponseWriter, r *http.Request, req *dispatch.Request) {
 	end, e := deadline(r, req.Class, req.Arrival)
