--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -19,8 +19,6 @@
 	idleTimeout     = 30 * time.Second
 	maxIdlePerHost  = 128
 	maxHeaderBytes  = 64 << 10
-	writeBufferSize = 16 << 10
-	readBufferSize  = 16 << 10
 )
 
 // Client sends requests over pooled or fresh connections.
@@ -53,8 +51,6 @@
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-		WriteBufferSize:        writeBufferSize,
-		ReadBufferSize:         readBufferSize,
 	}
 }
 
--- a/modules/endpoint/engine/engine.go
+++ b/modules/endpoint/engine/engine.go
@@ -103,6 +103,7 @@
 // relay hands the stream's events to the sink until the end marker.
 func relay(t *endpoint.Transfer, a *endpoint.Attempt, s endpoint.Sink) endpoint.Result {
 	reader := newReader(t.Response.Body)
+	defer reader.release()
 	numbered := a.Endpoint.Has(config.CapResume)
 	tokens := a.Tokens
 	for {
--- a/modules/endpoint/engine/sse.go
+++ b/modules/endpoint/engine/sse.go
@@ -6,10 +6,11 @@
 	"errors"
 	"io"
 	"strconv"
+	"sync"
 )
 
 const (
-	readBuffer = 16 << 10
+	readBuffer = 8 << 10
 	// maxEvent bounds one event, so that an engine cannot exhaust the memory of the daemon.
 	maxEvent = 1 << 20
 )
@@ -39,8 +40,21 @@
 	text []byte
 }
 
+// readers keeps readers for reuse, because their buffers are the largest allocation of an attempt.
+var readers = sync.Pool{New: func() any {
+	return &reader{r: bufio.NewReaderSize(nil, readBuffer), text: make([]byte, 0, 256)}
+}}
+
 func newReader(r io.Reader) *reader {
-	return &reader{r: bufio.NewReaderSize(r, readBuffer), text: make([]byte, 0, 256)}
+	reader := readers.Get().(*reader)
+	reader.r.Reset(r)
+	return reader
+}
+
+// release makes the reader available again. Events that it returned are no longer valid.
+func (r *reader) release() {
+	r.r.Reset(nil)
+	readers.Put(r)
 }
 
 // buffered says whether further bytes can be read without waiting.
