Assemble whole answers from streams and refuse unfit continuations

Cause: an engine's answer that is not streamed has no token before its end, so that a silent engine was noticed only after a minute and a crash lost all tokens. A review also found that an error answer of the engine that should continue a stream ended the stream with [DONE].

Change: the dispatcher asks engines to stream where the answer is plain text and assembles the whole answer; answers with tokens without text are passed as before. An answer that does not fit what the caller has counts as a failure.

The new tests failed before the change for status 400, 500 and 429 by reading of the code only; they were run only after it.

Conclusion: whole answers resume, report progress and can be preempted like streams, and no truncated stream ends with [DONE].

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -43,6 +43,8 @@
 	Number   uint32
 	// Tier is the class's tier; engines with the priority capability receive it.
 	Tier int
+	// Assemble asks an engine to stream an answer that the caller wants whole.
+	Assemble bool
 	// Tokens is the number of tokens that the caller already has, and Text is their text.
 	Tokens int
 	Text   string
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -57,6 +57,9 @@
 	suspects suspects
 	running  atomic.Int64
 
+	// opaque has the models whose answers cannot be assembled.
+	opaque sync.Map
+
 	budgetMu sync.Mutex
 	budget   *retry.Budget
 
@@ -118,6 +121,9 @@
 		out = &tolerant{Response: out}
 	}
 	run := &run{d: d, r: r, fingerprint: fingerprint, relay: newRelay(r, out)}
+	if _, opaque := d.opaque.Load(r.Pool.Model); r.Assemblable && !r.NonIdempotent && !opaque {
+		run.relay.assembling = true
+	}
 	run.suspect = d.suspects.crashes(fingerprint) > 0
 	if r.NonIdempotent {
 		return run.once(ctx)
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -22,9 +22,9 @@
 
 // firstTokenLimit returns the time after which an attempt without a first token is given up. An
 // engine's answer that is not streamed has no token before its end.
-func firstTokenLimit(r *Request) time.Duration {
+func firstTokenLimit(r *Request, assembling bool) time.Duration {
 	total := r.Class.Total.D()
-	if r.Pool.Kind == config.KindEngine && !r.Stream {
+	if r.Pool.Kind == config.KindEngine && !r.Stream && !assembling {
 		return max(wholeAnswerFactor*total, minWholeAnswer)
 	}
 	target := r.Class.FirstToken.D()
@@ -71,7 +71,7 @@
 	switch {
 	case res.NotRun || !res.Sent:
 		return &verdict{err: overloaded("no endpoint accepted the request", max(res.RetryAfter, time.Second))}
-	case res.Complete:
+	case res.Complete && r.relay.deliverable():
 		// The engine's own error is the best answer there is.
 		return &verdict{complete: true, status: res.Status}
 	case res.Timeout != endpoint.TimeoutNone:
--- a/internal/dispatch/identity.go
+++ b/internal/dispatch/identity.go
@@ -121,6 +121,10 @@
 		return err
 	}
 	l.finished = true
+	if l.assembling {
+		l.assembly.reason = json.RawMessage(`"length"`)
+		return nil
+	}
 	_, err = l.out.Write([]byte("data: " + string(raw) + "\n\n"))
 	return callerGone(err)
 }
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -48,6 +48,11 @@
 	// opened says that the caller has received an event without a token, which engines send first.
 	opened   bool
 	finished bool
+	// hasUsage says that token counts were received.
+	hasUsage bool
+	// assembling says that the answer is collected; assembly holds it.
+	assembling bool
+	assembly   assembly
 	// continuedAt is the number of tokens that the caller had when the current attempt began.
 	continuedAt int
 	// identity is the identity of the answer's first chunk, which all chunks carry.
@@ -89,11 +94,31 @@
 	return l.tokens, string(l.text)
 }
 
-// whole says that the caller has all tokens of a streamed answer and the reason for its end.
+// ended says that all tokens of a streamed answer and the reason for its end were received.
+func (l *relay) ended() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.finished
+}
+
+// whole says that nothing of a streamed answer is missing but its end marker.
 func (l *relay) whole() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.started && l.finished
+	return l.finished && (l.hasUsage || !l.r.WantsUsage && !l.assembling)
+}
+
+// deliverable says that the current attempt's answer fits what was received before it: after the
+// first event only a further stream does, not an error of the endpoint that should continue it.
+func (l *relay) deliverable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.opened && l.tokens == 0 && !l.finished || l.streamed()
+}
+
+// streamed says that the current attempt's answer is a stream of an engine. It is called with mu held.
+func (l *relay) streamed() bool {
+	return l.r.Pool.Kind == config.KindEngine && l.status == http.StatusOK && isEventStream(l.header)
 }
 
 // bounded says that the caller has as many tokens as it allowed. It is called with mu held.
@@ -185,7 +210,7 @@
 	case e.Kind&endpoint.EventFinish != 0 && l.finished:
 		return nil
 	}
-	if err := l.send(s, e); err != nil {
+	if err := l.accept(s, e); err != nil {
 		return err
 	}
 	if token {
@@ -196,9 +221,18 @@
 	}
 	l.opened = l.opened || e.Kind == 0
 	l.finished = l.finished || e.Kind&endpoint.EventFinish != 0
+	l.hasUsage = l.hasUsage || e.Kind&endpoint.EventUsage != 0
 	return nil
 }
 
+// accept sends an event to the caller or collects it.
+func (l *relay) accept(s *sink, e endpoint.Event) error {
+	if l.assembling {
+		return l.collect(e)
+	}
+	return l.send(s, e)
+}
+
 // report tells the scheduler about progress, at once for the first token.
 func (s *sink) report(tokens int) {
 	now := time.Now()
@@ -271,8 +305,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.current = 0
-	events := l.r.Pool.Kind == config.KindEngine && l.status == http.StatusOK && isEventStream(l.header)
-	if events || l.opened || l.tokens > 0 || l.finished {
+	if l.assembling && (l.finished || l.streamed()) {
+		if err := l.compose(); err != nil {
+			return err
+		}
+	}
+	if !l.assembling && (l.finished || l.streamed()) {
 		return l.finishStream()
 	}
 	if !l.started {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -45,6 +45,10 @@
 	Blocks []uint64
 	// Continuable says that a partial answer can be continued from its text.
 	Continuable bool
+	// Assemblable says that a whole answer can be assembled from a streamed one.
+	Assemblable bool
+	// WantsUsage says that the caller of a stream asked for token counts.
+	WantsUsage bool
 }
 
 // Response receives the answer for the caller.
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"slices"
 	"strconv"
@@ -68,6 +69,55 @@
 	}
 }
 
+// Guards against a partial answer that is marked as whole when no engine can continue it.
+func TestCannotContinue(t *testing.T) {
+	for _, status := range []int{http.StatusBadRequest, http.StatusInternalServerError, http.StatusTooManyRequests} {
+		for _, stream := range []bool{true, false} {
+			p := newPath(t, setup{})
+			p.engines[0].SetFaults(enginestandin.Faults{CutAfter: 3})
+			p.engines[1].SetFaults(enginestandin.Faults{Status: status})
+			p.engines[2].SetFaults(enginestandin.Faults{Status: status})
+			r, body := p.post(t, "/v1/chat/completions", "", chat("partial length=30", stream, ""))
+			s := parseStream(t, body)
+			if outcome(r) != "failed" || s.done || (stream && s.error == "") || (!stream && r.StatusCode < 500) {
+				t.Errorf("status %d, stream %v: outcome %q, body %s", status, stream, outcome(r), body)
+			}
+		}
+	}
+}
+
+// Guards against whole answers that lose tokens when the stream that they are assembled from breaks,
+// and against one that an engine without resumption cannot begin anew.
+func TestAssembledAnswer(t *testing.T) {
+	p := newPath(t, setup{interToken: 100 * time.Millisecond})
+	want := enginestandin.Answer(enginestandin.ChatPrompt("whole length=30"), 0)
+	for _, f := range []enginestandin.Faults{{}, {CutAfter: 7}, {SilentAfter: 7}, {CutEnd: true}, {CutDone: true}} {
+		p.engines[0].SetFaults(f)
+		r, body := p.post(t, "/v1/chat/completions", "", chat("whole length=30", false, ""))
+		var answer struct {
+			Choices []struct {
+				Message struct {
+					Content string `json:"content"`
+				} `json:"message"`
+				FinishReason string `json:"finish_reason"`
+			} `json:"choices"`
+			Usage struct {
+				Prompt     int `json:"prompt_tokens"`
+				Completion int `json:"completion_tokens"`
+				Total      int `json:"total_tokens"`
+			} `json:"usage"`
+		}
+		if err := json.Unmarshal([]byte(body), &answer); err != nil {
+			t.Fatalf("%+v: %s: %v", f, body, err)
+		}
+		u := answer.Usage
+		if outcome(r) != "completed" || answer.Choices[0].Message.Content != want || answer.Choices[0].FinishReason != "stop" ||
+			u.Completion != 30 || u.Total != u.Prompt+30 {
+			t.Errorf("%+v: outcome %q, body %s", f, outcome(r), body)
+		}
+	}
+}
+
 // Guards against a preempted stream that loses or repeats tokens, and against a second preemption.
 func TestPreemptedStreamContinues(t *testing.T) {
 	p := newPath(t, setup{engine: enginestandin.Options{TokenTime: 2 * time.Millisecond}})
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -133,6 +133,10 @@
 	if ok && (tokens == 0 || e.Has(config.CapResume)) {
 		return e, true
 	}
+	if ok && r.relay.assembling {
+		r.relay.restart()
+		return e, true
+	}
 	slot.Finish(peer.Outcome_OUTCOME_NOT_SENT, 0, 0, 0)
 	r.avoid = append(r.avoid, slot.Endpoint())
 	return e, false
@@ -168,7 +172,7 @@
 	s := r.d.o.Snapshot()
 	for _, shard := range s.PoolShards[r.r.Pool.Name] {
 		for _, id := range shard.Endpoints {
-			if !slices.Contains(r.avoid, id) && (tokens == 0 || s.Endpoints[id].Has(config.CapResume)) {
+			if !slices.Contains(r.avoid, id) && (tokens == 0 || r.relay.assembling || s.Endpoints[id].Has(config.CapResume)) {
 				return false
 			}
 		}
@@ -193,8 +197,8 @@
 	tokens, text := r.relay.delivered()
 	a := &endpoint.Attempt{
 		Request: &r.r.Request, Endpoint: e, Number: r.number, Tier: r.r.Class.Tier,
-		Tokens: tokens, Text: text,
-		FirstToken: firstTokenLimit(r.r), BetweenTokens: r.d.o.InterToken,
+		Assemble: r.relay.assembling, Tokens: tokens, Text: text,
+		FirstToken: firstTokenLimit(r.r, r.relay.assembling), BetweenTokens: r.d.o.InterToken,
 	}
 	begun := time.Now()
 	res := r.d.o.Kinds[r.r.Pool.Kind].Do(ctx, a, s)
@@ -221,7 +225,7 @@
 		r.crashed(e.ID)
 	}
 	switch {
-	case res.Complete && !r.retryStatus(res.Status):
+	case res.Complete && !r.retryStatus(res.Status) && r.relay.deliverable():
 		r.cleared()
 		return &verdict{complete: true, status: res.Status}
 	case r.relay.whole():
@@ -233,10 +237,21 @@
 		r.preempted = true
 		return r.continuable(res)
 	}
+	if errors.Is(res.Err, errOpaque) {
+		r.d.opaque.Store(r.r.Pool.Model, true)
+		r.relay.assembling = false
+		r.relay.restart()
+		return nil
+	}
 	r.d.o.Log.Debug("attempt failed", "request", r.attemptName(), "endpoint", e.ID, "error", res.Err)
 	r.avoid = append(r.avoid, e.ID)
 	r.avoidZone = r.otherZone(e.Zone)
-	return r.retry(res)
+	v := r.retry(res)
+	if v != nil && v.err != nil && r.relay.ended() {
+		// Only token counts are missing, and no endpoint can supply them.
+		return &verdict{complete: true, status: http.StatusOK}
+	}
+	return v
 }
 
 // retryStatus says whether a complete answer of an engine is a failure of the engine. Answers of
@@ -276,7 +291,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case !l.started:
+	case !l.started && !l.bounded():
+		if l.tokens > 0 {
+			r.d.counters.resumes.Inc(1)
+		}
 		return nil
 	case l.tokens == 0 && r.r.Stream:
 		return nil
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	dialTimeout     = time.Second
-	idleTimeout     = 30 * time.Second
-	maxIdlePerHost  = 128
-	maxHeaderBytes  = 64 << 10
+	dialTimeout    = time.Second
+	idleTimeout    = 30 * time.Second
+	maxIdlePerHost = 128
+	maxHeaderBytes = 64 << 10
 )
 
 // Client sends requests over pooled or fresh connections.
--- a/modules/endpoint/engine/body.go
+++ b/modules/endpoint/engine/body.go
@@ -31,7 +31,7 @@
 // when the attempt continues one. A caller's own priority is removed: classes decide.
 func attemptBody(a *endpoint.Attempt) ([]byte, error) {
 	priority := a.Endpoint.Has(config.CapPriority)
-	if !priority && a.Tokens == 0 && !bytes.Contains(a.Request.Body, priorityKey) {
+	if !priority && a.Tokens == 0 && !a.Assemble && !bytes.Contains(a.Request.Body, priorityKey) {
 		return a.Request.Body, nil
 	}
 	var f fields
@@ -44,6 +44,10 @@
 			return nil, err
 		}
 	}
+	if a.Assemble {
+		f["stream"] = json.RawMessage("true")
+		f["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	}
 	if a.Tokens > 0 {
 		if err := f.continueAnswer(a); err != nil {
 			return nil, err
--- a/modules/endpoint/engine/engine.go
+++ b/modules/endpoint/engine/engine.go
@@ -84,7 +84,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(endpoint.HeaderRequestID, a.Request.ID)
-	if a.Request.Stream {
+	if a.Request.Stream || a.Assemble {
 		req.Header.Set("Accept", "text/event-stream")
 	}
 	if a.Tokens > 0 {
--- a/modules/front/model.go
+++ b/modules/front/model.go
@@ -34,6 +34,22 @@
 	N             int             `json:"n"`
 	BestOf        int             `json:"best_of"`
 	Echo          bool            `json:"echo"`
+	Tools         json.RawMessage `json:"tools"`
+	Functions     json.RawMessage `json:"functions"`
+	Modalities    json.RawMessage `json:"modalities"`
+	Logprobs      json.RawMessage `json:"logprobs"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// single says that the answer is one sequence of tokens that can be continued.
+func (b *modelBody) single() bool { return b.N <= 1 && b.BestOf <= 1 && !b.Echo }
+
+// textOnly says that the answer is nothing but text.
+func (b *modelBody) textOnly() bool {
+	return len(b.Tools)+len(b.Functions)+len(b.Modalities) == 0 &&
+		(len(b.Logprobs) == 0 || string(b.Logprobs) == "null" || string(b.Logprobs) == "false")
 }
 
 type modelMessage struct {
@@ -72,7 +88,9 @@
 		Class: class, Pool: pool, Adapter: adapter, Route: r.URL.Path,
 		PromptTokens: len(prompt)/bytesPerToken + 1,
 		Blocks:       endpoint.Blocks(prompt),
-		Continuable:  body.Stream && body.N <= 1 && body.BestOf <= 1 && !body.Echo,
+		Continuable:  body.single(),
+		Assemblable:  !body.Stream && body.single() && body.textOnly(),
+		WantsUsage:   body.StreamOptions.IncludeUsage,
 	}
 	setKey(req, r)
 	return req, nil
