Repeat calls on stale connections and bound the ledger's time

Cause: in a pool with one service, a call on a pooled connection that the service had closed failed, since the failed endpoint was avoided. A write of the ledger that ran into our own time limit was taken as not recorded.

Change: a broken or silent pooled connection is reported as stale and the call is repeated on a fresh connection, without avoiding the endpoint.

Conclusion: idempotent calls survive closed keep-alive connections.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -108,6 +108,9 @@
 	NotRun bool
 	// Complete says that the end of the answer was seen and checked.
 	Complete bool
+	// Stale says that a pooled connection broke or was silent before the first byte of an answer,
+	// which says nothing about the endpoint. The request is to be repeated on a fresh connection.
+	Stale bool
 	// Crashed says that the endpoint broke the connection after the request was sent.
 	Crashed bool
 	Timeout Timeout
@@ -134,7 +137,7 @@
 		return peer.Outcome_OUTCOME_NOT_SENT
 	case r.NotRun:
 		return peer.Outcome_OUTCOME_REFUSED
-	case r.Canceled:
+	case r.Canceled, r.Stale:
 		return peer.Outcome_OUTCOME_CANCELED
 	case r.Crashed:
 		return peer.Outcome_OUTCOME_CRASHED
--- a/endpoint/transfer.go
+++ b/endpoint/transfer.go
@@ -33,6 +33,7 @@
 	// Response is the answer's header.
 	Response *http.Response
 
+	client   *httpclient.Client
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer
@@ -46,7 +47,7 @@
 // Begin sends the request. A nil Transfer means that the attempt has ended with the result.
 func Begin(ctx context.Context, c *httpclient.Client, req *http.Request, a *Attempt, fresh bool) (*Transfer, Result) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	t := &Transfer{ctx: ctx, cancel: cancel, attempt: a, start: time.Now()}
+	t := &Transfer{client: c, ctx: ctx, cancel: cancel, attempt: a, start: time.Now()}
 	if a.FirstToken > 0 {
 		t.timer = time.AfterFunc(a.FirstToken, t.expire)
 	}
@@ -104,6 +105,7 @@
 	case errors.Is(cause, errFirstToken):
 		r.Timeout = TimeoutFirstToken
 		r.Err = cause
+		r.Stale = t.exchange.Stale()
 	case errors.Is(cause, errBetweenTokens):
 		r.Timeout = TimeoutBetweenTokens
 		r.Err = cause
@@ -111,7 +113,12 @@
 		r.Canceled = true
 		r.Err = cause
 	case r.Sent && httpclient.Broken(err):
-		r.Crashed = !t.exchange.Stale()
+		r.Stale = t.exchange.Stale()
+		r.Crashed = !r.Stale
+	}
+	if r.Stale {
+		// Other idle connections can be in the same state.
+		t.client.Close()
 	}
 	return r
 }
--- a/internal/dispatch/cancel_test.go
+++ b/internal/dispatch/cancel_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/chivewind/chivewind/config"
 	enginestandin "github.com/chivewind/chivewind/internal/standin/engine"
+	plainstandin "github.com/chivewind/chivewind/internal/standin/plain"
 	"github.com/chivewind/chivewind/peer"
 )
 
@@ -106,6 +107,25 @@
 	}
 }
 
+// Guards against an idempotent call that fails because the service had closed a pooled connection.
+func TestStaleConnection(t *testing.T) {
+	p := newPath(t, setup{})
+	for i, f := range []plainstandin.Faults{{}, {CutBeforeRun: true, Times: 1}} {
+		p.services[0].SetFaults(f)
+		req, err := http.NewRequest(http.MethodGet, p.url+"/services/bookings/7", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r, body := do(t, req); outcome(r) != "completed" {
+			t.Errorf("call %d: outcome %q, body %s", i, outcome(r), body)
+		}
+	}
+	last := p.scheduler.acquires[len(p.scheduler.acquires)-1]
+	if last.Attempt.Number != 2 || len(last.Avoid) > 0 || len(p.announcer.list()) > 0 {
+		t.Errorf("last Acquire %v, suspects %v", last, p.announcer.list())
+	}
+}
+
 // Guards against a waiting stream that looks dead to its caller, and an error after the header that
 // would look like a whole answer.
 func TestKeepAlive(t *testing.T) {
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -69,7 +69,8 @@
 	return &booking{run: r, key: key[:], digest: h.Sum(nil), cancel: func() {}}
 }
 
-// call sends one request to the ledger. A nil reply means that nothing was recorded or read.
+// call sends one request to the ledger. A nil reply means that nothing was recorded or read. A write
+// that ran into the time limit may have been recorded.
 func (b *booking) call(ctx context.Context, action peer.LedgerRequest_Action, record *peer.LedgerRecord) *peer.LedgerReply {
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
@@ -79,6 +80,9 @@
 	})
 	if err != nil {
 		b.run.d.o.Log.Debug("ledger", "action", action.String(), "error", err)
+		if ctx.Err() != nil && action != peer.LedgerRequest_ACTION_LOOKUP {
+			return &peer.LedgerReply{Result: peer.LedgerReply_RESULT_UNKNOWN}
+		}
 		return nil
 	}
 	if reply.Result == peer.LedgerReply_RESULT_UNAVAILABLE || reply.Result == peer.LedgerReply_RESULT_NOT_OWNER {
@@ -102,10 +106,6 @@
 	}
 	reply := b.call(ctx, peer.LedgerRequest_ACTION_BEGIN, b.record(peer.LedgerRecord_STATE_INTENT))
 	switch {
-	case reply == nil && ctx.Err() != nil:
-		// The record may still be written after the caller has left.
-		b.abort()
-		return nil, b.run.canceled(ctx)
 	case reply == nil:
 		b.blocked = &Result{Outcome: NotRun, Err: ledgerDown("the intent could not be recorded")}
 	case reply.Result == peer.LedgerReply_RESULT_BEGUN:
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -236,6 +236,8 @@
 		r.d.counters.preemptions.Inc(1)
 		r.preempted = true
 		return r.continuable(res)
+	case res.Stale && !r.r.NonIdempotent && r.number < maxAttempts:
+		return nil
 	}
 	if errors.Is(res.Err, errOpaque) {
 		r.d.opaque.Store(r.r.Pool.Model, true)
--- a/modules/endpoint/plain/plain_test.go
+++ b/modules/endpoint/plain/plain_test.go
@@ -136,7 +136,7 @@
 		t.Fatalf("first request: %+v", got)
 	}
 	got := k.Do(context.Background(), a, &recorder{})
-	if !got.Sent || got.Complete || got.Crashed {
+	if !got.Sent || got.Complete || got.Crashed || !got.Stale {
 		t.Errorf("second request on the pooled connection: %+v", got)
 	}
 	if n := arrived.Load(); n != 2 {
