Confirm intents before each attempt and batch suspects

Cause: a non-idempotent request that an endpoint refused could wait for another slot so long that an operator settles its intent; sending it then could run it twice. An availability zone's failure would send one announcement per request.

Change: the intent is confirmed by the ledger before each attempt, and the start-by time of a slot is checked on the wall clock too. Progress is reported per token, since slots collect it.

Conclusion: no attempt follows an intent that is older than its slot.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,12 +50,14 @@
 
 // Dispatcher runs requests. It is safe for concurrent use.
 //
-// Lock order: a request's relay lock is never held together with the lock of the suspects table or
-// of the retry budget.
+// Lock order: the locks of a request's relay, the suspects table, the announcements and the retry
+// budget are never held together.
 type Dispatcher struct {
 	o        Options
 	suspects suspects
-	running  atomic.Int64
+	// announcements are suspects on their way to the other daemons.
+	announcements announcements
+	running       atomic.Int64
 
 	// opaque has the models whose answers cannot be assembled.
 	opaque sync.Map
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -15,8 +15,9 @@
 	partitions = 64
 	// maxKeptAnswer bounds an answer in a ledger record.
 	maxKeptAnswer = 64 << 10
-	// ledgerTimeout bounds one call of the ledger.
-	ledgerTimeout = 5 * time.Second
+	// ledgerTimeout bounds one call of the ledger. It exceeds the ledger's own limit, after which the
+	// ledger says whether anything was recorded.
+	ledgerTimeout = 10 * time.Second
 	// runLimit bounds a non-idempotent attempt whose caller is gone. It goes on, because its record
 	// must get the outcome.
 	runLimit = 5 * time.Minute
@@ -41,7 +42,8 @@
 	}
 	r.prepare = b.begin
 	v := r.attempts(ctx)
-	defer r.announced.Wait()
+	defer r.awaitAnnounced()
+	defer b.cancel()
 	if b.blocked != nil {
 		return *b.blocked
 	}
@@ -69,8 +71,7 @@
 	return &booking{run: r, key: key[:], digest: h.Sum(nil), cancel: func() {}}
 }
 
-// call sends one request to the ledger. A nil reply means that nothing was recorded or read. A write
-// that ran into the time limit may have been recorded.
+// call sends one request to the ledger. A nil reply means that nothing was recorded or read.
 func (b *booking) call(ctx context.Context, action peer.LedgerRequest_Action, record *peer.LedgerRecord) *peer.LedgerReply {
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
@@ -80,9 +81,6 @@
 	})
 	if err != nil {
 		b.run.d.o.Log.Debug("ledger", "action", action.String(), "error", err)
-		if ctx.Err() != nil && action != peer.LedgerRequest_ACTION_LOOKUP {
-			return &peer.LedgerReply{Result: peer.LedgerReply_RESULT_UNKNOWN}
-		}
 		return nil
 	}
 	if reply.Result == peer.LedgerReply_RESULT_UNAVAILABLE || reply.Result == peer.LedgerReply_RESULT_NOT_OWNER {
@@ -99,25 +97,25 @@
 	}
 }
 
-// begin records the intent to send. From then on only this daemon may send the request.
+// begin records the intent to send. From then on only this daemon may send the request. It is repeated
+// before each attempt: while a refused request waits for another slot, an operator may settle it.
 func (b *booking) begin(ctx context.Context) (context.Context, *verdict) {
-	if b.begun {
-		return b.detached, nil
-	}
 	reply := b.call(ctx, peer.LedgerRequest_ACTION_BEGIN, b.record(peer.LedgerRecord_STATE_INTENT))
 	switch {
-	case reply == nil:
-		b.blocked = &Result{Outcome: NotRun, Err: ledgerDown("the intent could not be recorded")}
-	case reply.Result == peer.LedgerReply_RESULT_BEGUN:
+	case reply != nil && reply.Result == peer.LedgerReply_RESULT_BEGUN:
 		b.begun = true
 		if ctx.Err() != nil {
 			return nil, b.run.canceled(ctx)
 		}
-		b.detached, b.cancel = context.WithTimeout(context.WithoutCancel(ctx), runLimit)
+		if b.detached == nil {
+			b.detached, b.cancel = context.WithTimeout(context.WithoutCancel(ctx), runLimit)
+		}
 		return b.detached, nil
-	case reply.Result == peer.LedgerReply_RESULT_UNKNOWN:
+	case reply == nil && !b.begun:
+		b.blocked = &Result{Outcome: NotRun, Err: ledgerDown("the intent could not be recorded")}
+	case reply == nil || reply.Result == peer.LedgerReply_RESULT_UNKNOWN:
 		b.abort()
-		b.blocked = b.notSent(ctx, ledgerDown("it is not known whether the intent was recorded"))
+		b.blocked = b.notSent(ctx, ledgerDown("it is not known whether the intent is recorded"))
 	default:
 		b.blocked = b.duplicate(ctx, reply)
 	}
@@ -126,7 +124,6 @@
 
 // conclude records the outcome and then answers the caller.
 func (b *booking) conclude(ctx context.Context, v verdict) Result {
-	defer b.cancel()
 	switch {
 	case !b.begun:
 		return *b.notSent(ctx, v.err)
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -18,9 +18,6 @@
 	// keepWhole is the size up to which an answer that is not streamed is held back until it is
 	// complete, so that a failed attempt can be repeated unseen.
 	keepWhole = 1 << 20
-	// progressInterval is the least time between two progress reports of a request. Schedulers
-	// receive progress once a second.
-	progressInterval = 250 * time.Millisecond
 )
 
 var (
@@ -140,7 +137,6 @@
 
 	identity   identity
 	firstToken time.Duration
-	reported   time.Time
 }
 
 var _ endpoint.Sink = (*sink)(nil)
@@ -233,15 +229,11 @@
 	return l.send(s, e)
 }
 
-// report tells the scheduler about progress, at once for the first token.
+// report tells the scheduler about progress. Slots collect reports, so that it may be called per token.
 func (s *sink) report(tokens int) {
-	now := time.Now()
 	if s.firstToken == 0 {
-		s.firstToken = max(now.Sub(s.sent), 1)
-	} else if now.Sub(s.reported) < progressInterval {
-		return
+		s.firstToken = max(time.Since(s.sent), 1)
 	}
-	s.reported = now
 	s.slot.Progress(tokens, s.firstToken)
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/chivewind/chivewind/config"
@@ -32,8 +31,8 @@
 	r           *Request
 	relay       *relay
 	fingerprint poison.Fingerprint
-	// announced waits for announcements of suspects that are under way.
-	announced sync.WaitGroup
+	// announced tells the end of this request's announcements of suspects.
+	announced []<-chan struct{}
 	// prepare is called once a slot is held, before each attempt; the attempt is made when it
 	// returns true. The context that it returns is the attempt's.
 	prepare func(context.Context) (context.Context, *verdict)
@@ -62,9 +61,11 @@
 
 // loop runs an idempotent request to its end.
 func (r *run) loop(ctx context.Context) Result {
-	res := r.deliver(r.attempts(ctx))
-	r.announced.Wait()
-	return res
+	v := r.attempts(ctx)
+	if !v.complete || v.status >= http.StatusInternalServerError {
+		r.awaitAnnounced()
+	}
+	return r.deliver(v)
 }
 
 // deliver completes the caller's answer and names the outcome.
@@ -111,7 +112,7 @@
 				return *v
 			}
 		}
-		if time.Now().After(slot.StartBy()) {
+		if late(time.Now(), slot.StartBy()) {
 			slot.Finish(peer.Outcome_OUTCOME_NOT_SENT, 0, 0, 0)
 			if r.lateGrants++; r.lateGrants > maxLateGrants {
 				return verdict{err: overloaded("no endpoint could be reached in time", time.Second)}
@@ -125,6 +126,12 @@
 	}
 }
 
+// late says that the time to start an attempt has passed. The wall clock is checked too, because the
+// monotonic one may stand still while the VM is suspended.
+func late(now, startBy time.Time) bool {
+	return now.After(startBy) || now.Round(0).After(startBy.Round(0))
+}
+
 // usable returns the granted endpoint. An endpoint that is unknown here or cannot continue the answer
 // is given back and avoided.
 func (r *run) usable(slot Slot) (config.Endpoint, bool) {
@@ -226,7 +233,9 @@
 	}
 	switch {
 	case res.Complete && !r.retryStatus(res.Status) && r.relay.deliverable():
-		r.cleared()
+		if res.Status < http.StatusInternalServerError {
+			r.cleared()
+		}
 		return &verdict{complete: true, status: res.Status}
 	case r.relay.whole():
 		return &verdict{complete: true, status: http.StatusOK}
