--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -43,6 +43,8 @@
 	Number   uint32
 	// Tier is the class's tier; engines with the priority capability receive it.
 	Tier int
+	// Assemble asks an engine to stream an answer that the caller wants whole.
+	Assemble bool
 	// Tokens is the number of tokens that the caller already has, and Text is their text.
 	Tokens int
 	Text   string
@@ -106,6 +108,9 @@
 	NotRun bool
 	// Complete says that the end of the answer was seen and checked.
 	Complete bool
+	// Stale says that a pooled connection broke or was silent before the first byte of an answer,
+	// which says nothing about the endpoint. The request is to be repeated on a fresh connection.
+	Stale bool
 	// Crashed says that the endpoint broke the connection after the request was sent.
 	Crashed bool
 	Timeout Timeout
@@ -132,7 +137,7 @@
 		return peer.Outcome_OUTCOME_NOT_SENT
 	case r.NotRun:
 		return peer.Outcome_OUTCOME_REFUSED
-	case r.Canceled:
+	case r.Canceled, r.Stale:
 		return peer.Outcome_OUTCOME_CANCELED
 	case r.Crashed:
 		return peer.Outcome_OUTCOME_CRASHED
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,12 +50,17 @@
 
 // Dispatcher runs requests. It is safe for concurrent use.
 //
-// Lock order: a request's relay lock is never held together with the lock of the suspects table or
-// of the retry budget.
+// Lock order: the locks of a request's relay, the suspects table, the announcements and the retry
+// budget are never held together.
 type Dispatcher struct {
 	o        Options
 	suspects suspects
-	running  atomic.Int64
+	// announcements are suspects on their way to the other daemons.
+	announcements announcements
+	running       atomic.Int64
+
+	// opaque has the models whose answers cannot be assembled.
+	opaque sync.Map
 
 	budgetMu sync.Mutex
 	budget   *retry.Budget
@@ -114,7 +119,13 @@
 	d.budgetMu.Lock()
 	d.budget.Request(time.Now(), r.Class.Name)
 	d.budgetMu.Unlock()
+	if r.NonIdempotent {
+		out = &tolerant{Response: out}
+	}
 	run := &run{d: d, r: r, fingerprint: fingerprint, relay: newRelay(r, out)}
+	if _, opaque := d.opaque.Load(r.Pool.Model); r.Assemblable && !r.NonIdempotent && !opaque {
+		run.relay.assembling = true
+	}
 	run.suspect = d.suspects.crashes(fingerprint) > 0
 	if r.NonIdempotent {
 		return run.once(ctx)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/chivewind/chivewind/config"
@@ -32,8 +31,8 @@
 	r           *Request
 	relay       *relay
 	fingerprint poison.Fingerprint
-	// announced waits for announcements of suspects that are under way.
-	announced sync.WaitGroup
+	// announced tells the end of this request's announcements of suspects.
+	announced []<-chan struct{}
 	// prepare is called once a slot is held, before each attempt; the attempt is made when it
 	// returns true. The context that it returns is the attempt's.
 	prepare func(context.Context) (context.Context, *verdict)
@@ -62,9 +61,11 @@
 
 // loop runs an idempotent request to its end.
 func (r *run) loop(ctx context.Context) Result {
-	res := r.deliver(r.attempts(ctx))
-	r.announced.Wait()
-	return res
+	v := r.attempts(ctx)
+	if !v.complete || v.status >= http.StatusInternalServerError {
+		r.awaitAnnounced()
+	}
+	return r.deliver(v)
 }
 
 // deliver completes the caller's answer and names the outcome.
@@ -111,7 +112,7 @@
 				return *v
 			}
 		}
-		if time.Now().After(slot.StartBy()) {
+		if late(time.Now(), slot.StartBy()) {
 			slot.Finish(peer.Outcome_OUTCOME_NOT_SENT, 0, 0, 0)
 			if r.lateGrants++; r.lateGrants > maxLateGrants {
 				return verdict{err: overloaded("no endpoint could be reached in time", time.Second)}
@@ -125,6 +126,12 @@
 	}
 }
 
+// late says that the time to start an attempt has passed. The wall clock is checked too, because the
+// monotonic one may stand still while the VM is suspended.
+func late(now, startBy time.Time) bool {
+	return now.After(startBy) || now.Round(0).After(startBy.Round(0))
+}
+
 // usable returns the granted endpoint. An endpoint that is unknown here or cannot continue the answer
 // is given back and avoided.
 func (r *run) usable(slot Slot) (config.Endpoint, bool) {
@@ -133,6 +140,10 @@
 	if ok && (tokens == 0 || e.Has(config.CapResume)) {
 		return e, true
 	}
+	if ok && r.relay.assembling {
+		r.relay.restart()
+		return e, true
+	}
 	slot.Finish(peer.Outcome_OUTCOME_NOT_SENT, 0, 0, 0)
 	r.avoid = append(r.avoid, slot.Endpoint())
 	return e, false
@@ -168,7 +179,7 @@
 	s := r.d.o.Snapshot()
 	for _, shard := range s.PoolShards[r.r.Pool.Name] {
 		for _, id := range shard.Endpoints {
-			if !slices.Contains(r.avoid, id) && (tokens == 0 || s.Endpoints[id].Has(config.CapResume)) {
+			if !slices.Contains(r.avoid, id) && (tokens == 0 || r.relay.assembling || s.Endpoints[id].Has(config.CapResume)) {
 				return false
 			}
 		}
@@ -193,8 +204,8 @@
 	tokens, text := r.relay.delivered()
 	a := &endpoint.Attempt{
 		Request: &r.r.Request, Endpoint: e, Number: r.number, Tier: r.r.Class.Tier,
-		Tokens: tokens, Text: text,
-		FirstToken: firstTokenLimit(r.r), BetweenTokens: r.d.o.InterToken,
+		Assemble: r.relay.assembling, Tokens: tokens, Text: text,
+		FirstToken: firstTokenLimit(r.r, r.relay.assembling), BetweenTokens: r.d.o.InterToken,
 	}
 	begun := time.Now()
 	res := r.d.o.Kinds[r.r.Pool.Kind].Do(ctx, a, s)
@@ -221,8 +232,10 @@
 		r.crashed(e.ID)
 	}
 	switch {
-	case res.Complete && !r.retryStatus(res.Status):
-		r.cleared()
+	case res.Complete && !r.retryStatus(res.Status) && r.relay.deliverable():
+		if res.Status < http.StatusInternalServerError {
+			r.cleared()
+		}
 		return &verdict{complete: true, status: res.Status}
 	case r.relay.whole():
 		return &verdict{complete: true, status: http.StatusOK}
@@ -232,11 +245,24 @@
 		r.d.counters.preemptions.Inc(1)
 		r.preempted = true
 		return r.continuable(res)
+	case res.Stale && !r.r.NonIdempotent && r.number < maxAttempts:
+		return nil
+	}
+	if errors.Is(res.Err, errOpaque) {
+		r.d.opaque.Store(r.r.Pool.Model, true)
+		r.relay.assembling = false
+		r.relay.restart()
+		return nil
 	}
 	r.d.o.Log.Debug("attempt failed", "request", r.attemptName(), "endpoint", e.ID, "error", res.Err)
 	r.avoid = append(r.avoid, e.ID)
 	r.avoidZone = r.otherZone(e.Zone)
-	return r.retry(res)
+	v := r.retry(res)
+	if v != nil && v.err != nil && r.relay.ended() {
+		// Only token counts are missing, and no endpoint can supply them.
+		return &verdict{complete: true, status: http.StatusOK}
+	}
+	return v
 }
 
 // retryStatus says whether a complete answer of an engine is a failure of the engine. Answers of
@@ -276,7 +302,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case !l.started:
+	case !l.started && !l.bounded():
+		if l.tokens > 0 {
+			r.d.counters.resumes.Inc(1)
+		}
 		return nil
 	case l.tokens == 0 && r.r.Stream:
 		return nil
