--- a/test/integration/callers_test.go
+++ b/test/integration/callers_test.go
@@ -204,15 +204,29 @@
 	s.t.Helper()
 	total := 0
 	for _, p := range s.plains {
-		var runs struct {
-			ByKey map[string]int `json:"by_key"`
-		}
-		s.getJSON("http://"+p.addr+"/admin/runs", &runs)
-		total += runs.ByKey[key]
+		total += p.runs(s.t)[key]
 	}
 	return total
 }
 
+// runs reads a plain stand-in's runs by key. A stand-in that has crashed answers again after its
+// down time.
+func (v *service) runs(t *testing.T) map[string]int {
+	t.Helper()
+	var runs struct {
+		ByKey map[string]int `json:"by_key"`
+	}
+	eventually(t, requestBound, "runs of "+v.id, func() error {
+		resp, err := http.Get("http://" + v.addr + "/admin/runs")
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		return json.NewDecoder(resp.Body).Decode(&runs)
+	})
+	return runs.ByKey
+}
+
 func (s *system) getJSON(url string, into any) {
 	s.t.Helper()
 	resp, err := http.Get(url)
@@ -228,16 +242,21 @@
 // setFaults posts fault switches to a stand-in.
 func (s *system) setFaults(v *service, faults any) {
 	s.t.Helper()
-	raw, err := json.Marshal(faults)
+	s.postJSON("http://"+v.addr+"/admin/faults", faults)
+}
+
+func (s *system) postJSON(url string, body any) {
+	s.t.Helper()
+	raw, err := json.Marshal(body)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	resp, err := http.Post("http://"+v.addr+"/admin/faults", "application/json", bytes.NewReader(raw))
+	resp, err := http.Post(url, "application/json", bytes.NewReader(raw))
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	resp.Body.Close()
 	if resp.StatusCode >= 300 {
-		s.t.Fatalf("faults of %s: %s", v.id, resp.Status)
+		s.t.Fatalf("%s: %s", url, resp.Status)
 	}
 }
--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -104,11 +104,6 @@
 func (p *process) terminate(bound time.Duration) {
 	p.t.Helper()
 	p.signal(syscall.SIGTERM)
-	p.waitExit(bound)
-}
-
-func (p *process) waitExit(bound time.Duration) {
-	p.t.Helper()
 	select {
 	case <-p.done:
 		if p.err != nil {
