Make the integration tests independent of each other

Cause: three faults of the tests themselves: daemons were added while callers read the list (found by the race detector), a dial through a cut proxy can be reset at once, and an outgoing connection took the UDP port of a daemon that was about to start. Change: callers read a guarded list; a reset dial counts as a failed exchange; ports of processes lie below the range of outgoing connections.

--- a/internal/faultproxy/faultproxy_test.go
+++ b/internal/faultproxy/faultproxy_test.go
@@ -75,7 +75,11 @@
 				t.Fatal(err)
 			}
 			defer p.Close()
-			open := dial(t, p)
+			open, err := net.Dial("tcp", p.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer open.Close()
 			if err := exchange(open); err != nil {
 				t.Fatal(err)
 			}
@@ -88,19 +92,20 @@
 			if got := len(received) > 0; got != tc.arrives {
 				t.Errorf("server got the byte: %v, want %v", got, tc.arrives)
 			}
-			if err := exchange(dial(t, p)); (err == nil) != tc.fresh {
+			if err := exchangeNew(p); (err == nil) != tc.fresh {
 				t.Errorf("new connection: %v", err)
 			}
 		})
 	}
 }
 
-func dial(t *testing.T, p *Proxy) net.Conn {
-	t.Helper()
+// exchangeNew exchanges over a new connection. The reset of a cut can reach the caller during the
+// dial already.
+func exchangeNew(p *Proxy) error {
 	c, err := net.Dial("tcp", p.Addr())
 	if err != nil {
-		t.Fatal(err)
+		return err
 	}
-	t.Cleanup(func() { c.Close() })
-	return c
+	defer c.Close()
+	return exchange(c)
 }
--- a/test/integration/load_test.go
+++ b/test/integration/load_test.go
@@ -72,8 +72,9 @@
 // entry picks one of the addresses that a random daemon names, as a caller does that keeps an
 // answer for its validity. A daemon that does not answer is passed over.
 func (l *load) entry(rng *rand.Rand) *daemon {
+	daemons := l.s.callable()
 	for range 20 {
-		asked := l.s.daemons[rng.IntN(len(l.s.daemons))]
+		asked := daemons[rng.IntN(len(daemons))]
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		urls := entryOf(ctx, asked)
 		cancel()
@@ -81,13 +82,13 @@
 			continue
 		}
 		url := urls[rng.IntN(len(urls))]
-		for _, d := range l.s.daemons {
+		for _, d := range daemons {
 			if url == "http://"+d.callers {
 				return d
 			}
 		}
 	}
-	return l.s.daemons[0]
+	return daemons[0]
 }
 
 func entryOf(ctx context.Context, d *daemon) []string {
--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -114,34 +114,34 @@
 	}
 }
 
-// ports hands out loopback ports that no other test of this process uses.
+// Ports of the processes lie below the range from which the system takes the ports of outgoing
+// connections, so that no connection of another test takes a port before its process binds it.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
+// ports hands out loopback ports, each once.
 var ports struct {
 	sync.Mutex
-	used map[int]bool
+	next int
 }
 
-// freePort returns a port that is free for TCP and UDP at this moment.
+// freePort returns a port that is free for TCP and UDP.
 func freePort(t *testing.T) int {
 	t.Helper()
 	ports.Lock()
 	defer ports.Unlock()
-	if ports.used == nil {
-		ports.used = map[int]bool{}
+	if ports.next == 0 {
+		// Two test processes at the same time begin at different ports.
+		ports.next = firstPort + os.Getpid()*37%(lastPort-firstPort)
 	}
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		port := l.Addr().(*net.TCPAddr).Port
-		u, err := net.ListenPacket("udp", fmt.Sprintf("127.0.0.1:%d", port))
-		l.Close()
-		if err != nil {
-			continue
+	for range lastPort - firstPort {
+		port := ports.next
+		if ports.next++; ports.next == lastPort {
+			ports.next = firstPort
 		}
-		u.Close()
-		if !ports.used[port] {
-			ports.used[port] = true
+		if isFree(port) {
 			return port
 		}
 	}
@@ -149,6 +149,21 @@
 	return 0
 }
 
+func isFree(port int) bool {
+	address := fmt.Sprintf("127.0.0.1:%d", port)
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	l.Close()
+	u, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	u.Close()
+	return true
+}
+
 // pollInterval is the time between two looks at a condition.
 const pollInterval = 20 * time.Millisecond
 
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -60,6 +61,17 @@
 	plains  []*service
 	daemons []*daemon
 	log     *eventLog
+
+	// mu guards known, the daemons that callers may use; daemons belongs to the test's goroutine.
+	mu    sync.Mutex
+	known []*daemon
+}
+
+// callable returns the daemons that callers may use.
+func (s *system) callable() []*daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known
 }
 
 // The zones of the test systems.
@@ -156,6 +168,9 @@
 		s.t.Fatal(err)
 	}
 	s.daemons = append(s.daemons, d)
+	s.mu.Lock()
+	s.known = append(s.known[:len(s.known):len(s.known)], d)
+	s.mu.Unlock()
 	return d
 }
 
