Let slots recover in seconds after load from elsewhere has ended

Change: slots grow in proportion to how far the time between tokens is below the target, by at least one and at most to the double.

--- a/modules/policy/tiered/limit.go
+++ b/modules/policy/tiered/limit.go
@@ -10,6 +10,8 @@
 	// limitMargin is the part of the target that the mean time between tokens may reach, because
 	// the target applies to the slow part of the distribution.
 	limitMargin = 0.9
+	// maxGrowth is the largest growth of the slots per interval after that.
+	maxGrowth = 2
 	// slowStart is the growth of the slots per interval until tokens first arrive too slowly.
 	slowStart = 1.5
 )
@@ -64,8 +66,8 @@
 	e.pace.limit = min(max(e.pace.limit, float64(e.running)), float64(e.MaxSlots))
 }
 
-// tickLimit changes an endpoint's slots once per interval: by one up when they were all in use and
-// tokens arrived in time, in proportion down when tokens arrived too slowly.
+// tickLimit changes an endpoint's slots once per interval: up, by at least one, when they were all in
+// use and tokens arrived in time, in proportion down when tokens arrived too slowly.
 func (p *Policy) tickLimit(now time.Duration, e *endpoint) {
 	l := &e.pace
 	if now < l.tickAt {
@@ -91,7 +93,10 @@
 	case l.measured && between == 0:
 		// Nothing is known of this interval.
 	case l.busy && l.tuned:
-		l.limit++
+		// One slot more near the target, and up to twice as many far below it, so that an endpoint
+		// recovers in seconds when load from elsewhere has ended.
+		growth := l.limit * (min(maxGrowth, float64(allowed)/float64(max(between, 1))) - 1)
+		l.limit += max(1, growth)
 	case l.busy:
 		l.limit *= slowStart
 	}
