--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -256,7 +256,7 @@
 }
 
 // testSnapshot has one pool with the given numbers of endpoints, slots per endpoint and shard size.
-func testSnapshot(t *testing.T, endpoints, slots, shardSize int) *config.Snapshot {
+func testSnapshot(t testing.TB, endpoints, slots, shardSize int) *config.Snapshot {
 	t.Helper()
 	c := &config.Config{
 		Preset:  "p",
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -81,3 +81,35 @@
 		}
 	})
 }
+
+// TestPreemptAndRestart guards against a preemption that does not reach its request, and against
+// slots that an earlier process of an entry daemon keeps.
+func TestPreemptAndRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, &fleet{}, 2, testSnapshot(t, 1, 2, 0))
+		defer f.stop()
+		owner := f.owner("pool/0")
+		slot := <-f.other(owner).acquireAsync("a")
+		h := owner.scheduler.lookup("pool/0")
+		h.mu.Lock()
+		h.decide(policy.Decision{Kind: policy.Preempt, ID: first("a")})
+		h.mu.Unlock()
+		<-slot.Preempted()
+		slot.Finish(peer.Outcome_OUTCOME_PREEMPTED, 2, 0, 0)
+		aborted := false
+		old := owner.scheduler.open("entry", 1, func() { aborted = true })
+		a := acquireMessage("b")
+		a.Shard = "pool/0"
+		old.handle(&peer.ScheduleRequest{Message: &peer.ScheduleRequest_Acquire{Acquire: a}})
+		synctest.Wait()
+		if got := f.entries(); got != 1 {
+			t.Errorf("%d requests known, want 1", got)
+		}
+		fresh := owner.scheduler.open("entry", 2, func() {})
+		if got := f.entries(); got != 0 || !aborted {
+			t.Errorf("%d requests of the earlier process known, stream aborted: %v; want 0 and true", got, aborted)
+		}
+		old.close()
+		fresh.close()
+	})
+}
