Measure how fast both sides notice a partition

Cause: Only the agreement after a partition was measured, not the one during it.

Change: BenchmarkConvergence reports the time until both halves agree on their own members.

--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -281,17 +281,18 @@
 }
 
 // BenchmarkConvergence measures, in virtual time, how long all daemons of a fleet take to agree after
-// the loss of a rack (5%), and after a partition into halves has healed.
+// a partition into halves, after it has healed, and after the loss of a rack (5%).
 func BenchmarkConvergence(b *testing.B) {
 	for _, n := range []int{8, 64, 390} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
-			var rack, heal time.Duration
+			var rack, split, heal time.Duration
 			var exchanges int64
 			for i := range b.N {
 				s := newSim(n, uint64(i)+1, nil)
 				s.run(5 * time.Second)
 				s.lost = func(from, to string) bool { return s.byID(from) < n/2 != (s.byID(to) < n/2) }
-				s.run(60 * time.Second)
+				split += s.converge(3*time.Minute, n/2)
+				s.run(30 * time.Second)
 				s.lost = func(_, _ string) bool { return false }
 				s.exchanges = 0
 				heal += s.converge(3*time.Minute, n)
@@ -301,6 +302,7 @@
 				}
 				rack += s.converge(3*time.Minute, n-max(1, n/20))
 			}
+			b.ReportMetric(split.Seconds()/float64(b.N), "s-split")
 			b.ReportMetric(heal.Seconds()/float64(b.N), "s-heal")
 			b.ReportMetric(float64(exchanges)/float64(b.N*n), "exchanges/member")
 			b.ReportMetric(rack.Seconds()/float64(b.N), "s-rack")
