Give policies positive times and test an unreachable owner

Cause: The policies' time started at 0, so that a request that had arrived before a takeover had a negative arrival, while 0 means "none" in several fields.

Change: The time starts at 24 h. A test covers requests whose scheduler is in the view but cannot be reached: they go to their second candidate.

Conclusion: Policies need no special case for requests that are older than their scheduler.

--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -358,7 +358,7 @@
 		f.log.mu.Lock()
 		reports := slices.Clone(f.log.reports)
 		f.log.mu.Unlock()
-		if len(reports) < 4 || reports[0].At != -100*time.Millisecond || reports[0].Endpoint == "" {
+		if len(reports) < 4 || reports[0].At != startTime-100*time.Millisecond || reports[0].Endpoint == "" {
 			t.Errorf("reports %+v, want one per endpoint and second with the time of the data", reports)
 		}
 		finish(slot)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -32,6 +32,9 @@
 	DefaultGrantValidity = time.Second
 	// DefaultPollInterval is the time between load reports of an endpoint.
 	DefaultPollInterval = time.Second
+	// startTime is the policies' time at the start of the scheduler. Requests that arrived earlier
+	// at other daemons then still have positive arrival times; 0 means "none" to policies.
+	startTime = 24 * time.Hour
 	// loadsMaxAge is how long computed shard loads are reused for heartbeats and pongs.
 	loadsMaxAge = 200 * time.Millisecond
 )
@@ -169,7 +172,7 @@
 }
 
 // now is the time that the policies use.
-func (s *Scheduler) now() time.Duration { return time.Since(s.started) }
+func (s *Scheduler) now() time.Duration { return startTime + time.Since(s.started) }
 
 // wake asks the reconcile loop to run. It never blocks.
 func (s *Scheduler) wake() {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,3 +114,40 @@
 		fresh.close()
 	})
 }
+
+// TestUnreachableOwner guards against requests that wait for a scheduler that is still in the view but
+// cannot be reached, although their second candidate can.
+func TestUnreachableOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, &fleet{}, 3, testSnapshot(t, 16, 8, 2))
+		defer f.stop()
+		entry, lost := f.daemons[0], f.daemons[1]
+		// An open stream goes silent together with new connections.
+		for i := range 8 {
+			finish(<-entry.acquireAsync(fmt.Sprint("before", i)))
+		}
+		f.network.CutBoth(entry.member.PeerAddress, lost.member.PeerAddress)
+		start := time.Now()
+		for i := range 40 {
+			id := fmt.Sprint("r", i)
+			reachable := false
+			entry.client.mu.Lock()
+			for _, shard := range entry.client.candidates("pool", acquireMessage(id)) {
+				reachable = reachable || f.owner(shard) != lost
+			}
+			entry.client.mu.Unlock()
+			if !reachable {
+				continue
+			}
+			slot := <-entry.acquireAsync(id)
+			if slot == nil {
+				t.Errorf("request %s lost", id)
+				continue
+			}
+			finish(slot)
+		}
+		if took := time.Since(start); took > 6*time.Second {
+			t.Errorf("requests took %s, want at most the detection of one silent stream", took)
+		}
+	})
+}
