--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,3 +82,72 @@
 		}
 	})
 }
+
+// TestPreemptAndRestart guards against a preemption that does not reach its request, and against
+// slots that an earlier process of an entry daemon keeps.
+func TestPreemptAndRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, &fleet{}, 2, testSnapshot(t, 1, 2, 0))
+		defer f.stop()
+		owner := f.owner("pool/0")
+		slot := <-f.other(owner).acquireAsync("a")
+		h := owner.scheduler.lookup("pool/0")
+		h.mu.Lock()
+		h.decide(policy.Decision{Kind: policy.Preempt, ID: first("a")})
+		h.mu.Unlock()
+		<-slot.Preempted()
+		slot.Finish(peer.Outcome_OUTCOME_PREEMPTED, 2, 0, 0)
+		aborted := false
+		old := owner.scheduler.open("entry", 1, func() { aborted = true })
+		a := acquireMessage("b")
+		a.Shard = "pool/0"
+		old.handle(&peer.ScheduleRequest{Message: &peer.ScheduleRequest_Acquire{Acquire: a}})
+		synctest.Wait()
+		if got := f.entries(); got != 1 {
+			t.Errorf("%d requests known, want 1", got)
+		}
+		fresh := owner.scheduler.open("entry", 2, func() {})
+		if got := f.entries(); got != 0 || !aborted {
+			t.Errorf("%d requests of the earlier process known, stream aborted: %v; want 0 and true", got, aborted)
+		}
+		old.close()
+		fresh.close()
+	})
+}
+
+// TestUnreachableOwner guards against requests that wait for a scheduler that is still in the view but
+// cannot be reached, although their second candidate can.
+func TestUnreachableOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, &fleet{}, 3, testSnapshot(t, 16, 8, 2))
+		defer f.stop()
+		entry, lost := f.daemons[0], f.daemons[1]
+		// An open stream goes silent together with new connections.
+		for i := range 8 {
+			finish(<-entry.acquireAsync(fmt.Sprint("before", i)))
+		}
+		f.network.CutBoth(entry.member.PeerAddress, lost.member.PeerAddress)
+		start := time.Now()
+		for i := range 40 {
+			id := fmt.Sprint("r", i)
+			reachable := false
+			entry.client.mu.Lock()
+			for _, shard := range entry.client.candidates("pool", acquireMessage(id)) {
+				reachable = reachable || f.owner(shard) != lost
+			}
+			entry.client.mu.Unlock()
+			if !reachable {
+				continue
+			}
+			slot := <-entry.acquireAsync(id)
+			if slot == nil {
+				t.Errorf("request %s lost", id)
+				continue
+			}
+			finish(slot)
+		}
+		if took := time.Since(start); took > 6*time.Second {
+			t.Errorf("requests took %s, want at most the detection of one silent stream", took)
+		}
+	})
+}
