--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -151,7 +151,7 @@
 func testPause(t *testing.T, n int, fault kv.Fault, timeout time.Duration) {
 	store := kv.NewStore()
 	a, b := newDaemon(t, store, "a"), newDaemon(t, store, "b")
-	a.kv.Timeout = timeout
+	a.kv.SetTimeout(timeout)
 	a.kv.FailWrite(n, fault)
 	var held atomic.Pointer[Holder]
 	ctx, cancel := context.WithTimeout(t.Context(), 5*pause)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -13,6 +13,7 @@
 	"github.com/chivewind/chivewind/internal/cluster/clustertest"
 	"github.com/chivewind/chivewind/internal/standin/kv"
 	"github.com/chivewind/chivewind/peer"
+	"github.com/chivewind/chivewind/platform"
 )
 
 const (
@@ -41,12 +42,16 @@
 	daemons []*daemon
 }
 
+// testRetention is short, because each sweep of each partition takes its time also in virtual time.
+const testRetention = 10 * time.Minute
+
 func newFleet(ctx context.Context, ids ...string) *fleet {
 	f := &fleet{store: kv.NewStore(), peers: clustertest.NewPeers()}
 	for _, id := range ids {
 		d := &daemon{id: id, kv: kv.NewClient(f.store), members: clustertest.NewMembers(id, ids...)}
 		d.Ledger = New(Options{
 			KV: d.kv, Members: d.members, Peers: f.peers, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+			Retention: testRetention,
 		})
 		f.peers.Serve(id, d.Ledger)
 		d.stop = clustertest.Start(ctx, d.Run)
@@ -81,6 +86,20 @@
 	return nil
 }
 
+// stored returns what the service holds for a key, whatever the owners have in memory.
+func (f *fleet) stored(t *testing.T, key []byte) *peer.LedgerRecord {
+	t.Helper()
+	reply := f.store.Range(platform.RangeRequest{Key: recordKey(PartitionOf(key), key)})
+	if len(reply.KVs) == 0 {
+		return nil
+	}
+	record, err := decodeRecord(reply.KVs[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return record
+}
+
 // crash cuts a daemon off from the service and its peers without a release.
 func (f *fleet) crash(d *daemon) {
 	d.kv.SetHang(true)
--- /dev/null
+++ b/internal/ledger/model_test.go
@@ -0,0 +1,286 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chivewind/chivewind/internal/standin/kv"
+	"github.com/chivewind/chivewind/peer"
+)
+
+// event is one step of a random scenario.
+type event struct {
+	after  time.Duration
+	kind   string
+	daemon int
+	key    int
+	nth    int
+	length time.Duration
+}
+
+// The kinds of events. A view change makes one daemon see other members than the rest.
+var eventKinds = []string{
+	"run", "run", "run", "run", "abort", "lose reply", "lose request", "late write", "late reply",
+	"pause", "lose call", "lose answer", "view", "view", "outage", "suspect", "stale owner", "stale owner",
+}
+
+var eventGenerator = rapid.Custom(func(t *rapid.T) event {
+	return event{
+		after:  time.Duration(rapid.IntRange(0, 4000).Draw(t, "after")) * time.Millisecond,
+		kind:   rapid.SampledFrom(eventKinds).Draw(t, "kind"),
+		daemon: rapid.IntRange(0, 1).Draw(t, "daemon"),
+		key:    rapid.IntRange(0, 1).Draw(t, "key"),
+		nth:    rapid.IntRange(1, 4).Draw(t, "nth"),
+		length: time.Duration(rapid.IntRange(1, 40).Draw(t, "length")) * time.Second / 2,
+	}
+})
+
+// model follows what the callers of the ledger were told.
+type model struct {
+	mu sync.Mutex
+	// begun counts, by key, the requests that may send: begun and not given up by their holder.
+	begun map[string]int
+	// finished has, by key, the request whose response is recorded.
+	finished map[string]string
+	// told counts the results, so that a test that exercises nothing is noticed.
+	told       map[peer.LedgerReply_Result]int
+	violations []string
+}
+
+func (m *model) violate(format string, args ...any) {
+	m.violations = append(m.violations, fmt.Sprintf(format, args...))
+}
+
+// request runs one caller's request: begin, then finish or abort.
+func (m *model) request(ctx context.Context, d *daemon, key []byte, id string, abort bool, work time.Duration) {
+	got, _ := d.do(ctx, actBegin, key, id, "body")
+	m.mu.Lock()
+	m.told[got]++
+	if got == begun {
+		m.begun[string(key)]++
+		if n := m.begun[string(key)]; n > 1 {
+			m.violate("%s begun while another request may send", id)
+		}
+		if by := m.finished[string(key)]; by != "" {
+			m.violate("%s begun after %s finished", id, by)
+		}
+	}
+	m.mu.Unlock()
+	if got != begun {
+		return
+	}
+	time.Sleep(work)
+	if abort {
+		// From here on the holder sends nothing.
+		m.mu.Lock()
+		m.begun[string(key)]--
+		m.mu.Unlock()
+		d.do(ctx, actAbort, key, id, "body")
+		return
+	}
+	got, _ = d.do(ctx, actFinish, key, id, "body")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch got {
+	case done:
+		m.finished[string(key)] = id
+	case absent, exists:
+		m.violate("%s was begun, but its record is gone: %s", id, got)
+	}
+}
+
+// scenario runs the events on two daemons in virtual time.
+func scenario(t *testing.T, events []event) *model {
+	m := &model{begun: map[string]int{}, finished: map[string]string{}, told: map[peer.LedgerReply_Result]int{}}
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.WithoutCancel(t.Context())
+		f := newFleet(ctx, "a", "b")
+		calls := &callFaults{}
+		f.peers.Intercept(calls.intercept)
+		keys := [][]byte{Key("w", "/r", "1"), Key("w", "/r", "2")}
+		time.Sleep(time.Second)
+		var running sync.WaitGroup
+		for i, e := range events {
+			time.Sleep(e.after)
+			d := f.daemons[e.daemon]
+			if e.kind == "stale owner" {
+				d = f.isolate(&running, keys[e.key], e.length)
+				e.kind = "run"
+			}
+			if e.kind == "run" || e.kind == "abort" {
+				running.Go(func() { m.request(ctx, d, keys[e.key], fmt.Sprint("r", i), e.kind == "abort", e.length/4) })
+				continue
+			}
+			f.inject(&running, d, e, calls)
+		}
+		running.Wait()
+		time.Sleep(time.Minute)
+		calls.clear()
+		time.Sleep(time.Minute)
+		for _, key := range keys {
+			m.atEnd(ctx, f.daemons[0], key)
+		}
+		f.stop()
+	})
+	return m
+}
+
+// isolate makes the next write of a key's owner take effect only after another daemon has taken its
+// partition over. It returns the owner.
+func (f *fleet) isolate(running *sync.WaitGroup, key []byte, length time.Duration) *daemon {
+	owner, other := f.owner(key), f.daemons[0]
+	if other == owner {
+		other = f.daemons[1]
+	}
+	owner.kv.FailWrite(1, kv.Fault{Before: DefaultLeaseTTL + length})
+	running.Go(func() {
+		time.Sleep(100 * time.Millisecond)
+		owner.kv.SetHang(true)
+		f.setLive(other.id)
+		time.Sleep(DefaultLeaseTTL + length + time.Second)
+		owner.kv.SetHang(false)
+		f.setLive("a", "b")
+	})
+	return owner
+}
+
+// inject applies one fault.
+func (f *fleet) inject(running *sync.WaitGroup, d *daemon, e event, calls *callFaults) {
+	restore := func(undo func()) {
+		running.Go(func() {
+			time.Sleep(e.length)
+			undo()
+		})
+	}
+	switch e.kind {
+	case "lose reply":
+		d.kv.FailWrite(e.nth, kv.Fault{Drop: true})
+	case "lose request":
+		d.kv.FailWrite(e.nth, kv.Fault{Skip: true})
+	case "late write":
+		d.kv.FailWrite(e.nth, kv.Fault{Before: e.length})
+	case "late reply":
+		d.kv.FailWrite(e.nth, kv.Fault{After: e.length})
+	case "pause":
+		// The daemon's calls of the service stand still, and a call may return long after it began.
+		d.kv.SetDelay(e.length)
+		restore(func() { d.kv.SetDelay(0) })
+	case "lose call", "lose answer":
+		calls.add(e.kind)
+	case "view":
+		other := f.daemons[1-e.daemon]
+		d.members.SetLive(d.id)
+		if e.nth > 2 {
+			d.members.SetLive(other.id)
+		}
+		restore(func() { d.members.SetLive("a", "b") })
+	case "suspect":
+		d.members.SetTrusted(false)
+		restore(func() { d.members.SetTrusted(true) })
+	case "outage":
+		for _, each := range f.daemons {
+			each.kv.SetHang(true)
+		}
+		restore(func() {
+			for _, each := range f.daemons {
+				each.kv.SetHang(false)
+			}
+		})
+	}
+}
+
+// atEnd checks that confirmed records are still there once all faults have ended.
+func (m *model) atEnd(ctx context.Context, d *daemon, key []byte) {
+	got, record := d.do(ctx, actLookup, key, "", "body")
+	id := m.finished[string(key)]
+	if id != "" && (got != exists || record.RequestId != id || record.State != peer.LedgerRecord_STATE_DONE) {
+		m.violate("the response of %s is lost: %s %v", id, got, record)
+	}
+	if id == "" && m.begun[string(key)] > 0 && got != exists {
+		m.violate("the intent is lost: %s", got)
+	}
+}
+
+// callFaults are losses of calls between daemons.
+type callFaults struct {
+	mu    sync.Mutex
+	queue []string
+}
+
+func (c *callFaults) add(kind string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue = append(c.queue, kind)
+}
+
+func (c *callFaults) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue = nil
+}
+
+func (c *callFaults) intercept(ctx context.Context, _ string, call func() (*peer.LedgerReply, error)) (*peer.LedgerReply, error) {
+	c.mu.Lock()
+	kind := ""
+	if len(c.queue) > 0 {
+		kind, c.queue = c.queue[0], c.queue[1:]
+	}
+	c.mu.Unlock()
+	switch kind {
+	case "lose call":
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case "lose answer":
+		call()
+		return nil, errors.New("connection lost")
+	}
+	return call()
+}
+
+// TestModel guards against a key whose requests both may send: for random interleavings of two
+// owners, pauses, lost replies and split views, at most one request of a key is begun unless its
+// holder gave it up, and what was confirmed is not lost. rapid prints the seed of a failure.
+func TestModel(t *testing.T) {
+	told := map[peer.LedgerReply_Result]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		events := rapid.SliceOfN(eventGenerator, 1, 40).Draw(rt, "events")
+		m := scenario(t, events)
+		for result, n := range m.told {
+			told[result] += n
+		}
+		if len(m.violations) > 0 {
+			rt.Fatalf("violations: %v", m.violations)
+		}
+	})
+	t.Log("results of begin:", told)
+	if told[begun] == 0 || told[exists] == 0 {
+		t.Error("the scenarios begin nothing")
+	}
+}
+
+// TestManyEvents guards against faults that need longer scenarios than TestModel's. The seeds are
+// fixed, so that a failure is repeated by the same run.
+func TestManyEvents(t *testing.T) {
+	for seed := range uint64(10) {
+		random := rand.New(rand.NewPCG(seed, seed))
+		events := make([]event, 150)
+		for i := range events {
+			events[i] = event{
+				after: time.Duration(random.IntN(1500)) * time.Millisecond,
+				kind:  eventKinds[random.IntN(len(eventKinds))], daemon: random.IntN(2), key: random.IntN(2),
+				nth: 1 + random.IntN(4), length: time.Duration(1+random.IntN(40)) * time.Second / 2,
+			}
+		}
+		if m := scenario(t, events); len(m.violations) > 0 {
+			t.Errorf("seed %d: %v", seed, m.violations)
+		}
+	}
+}
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -19,7 +20,7 @@
 	// within what the key-value service takes.
 	txnRate = 4
 	// txnBurst is the number of transactions after a pause that need not wait.
-	txnBurst = 2
+	txnBurst = txnRate
 	// maxQueue bounds the actions that wait in one partition.
 	maxQueue = 2000
 	// cacheSize bounds the records that a partition keeps in memory.
@@ -170,10 +171,7 @@
 	}
 	p.queue = append(p.queue, a)
 	p.mu.Unlock()
-	select {
-	case p.wake <- struct{}{}:
-	default:
-	}
+	p.signal()
 	select {
 	case r := <-a.reply:
 		return r, nil
@@ -184,6 +182,13 @@
 	}
 }
 
+func (p *partition) signal() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
 // refuseLate answers an action that was queued when the goroutine had ended.
 func (p *partition) refuseLate(a *action) *peer.LedgerReply {
 	select {
@@ -197,16 +202,22 @@
 // run writes groups until ctx ends or the partition is lost.
 func (p *partition) run(ctx context.Context) {
 	defer p.refuseQueue()
-	sweeper := time.NewTicker(sweepInterval)
+	var due atomic.Bool
+	sweeper := time.AfterFunc(sweepPause, func() {
+		due.Store(true)
+		p.signal()
+	})
 	defer sweeper.Stop()
 	for held := true; held; {
 		select {
 		case <-ctx.Done():
 			return
-		case <-sweeper.C:
-			held = p.sweepPage(ctx)
 		case <-p.wake:
 		}
+		if due.CompareAndSwap(true, false) {
+			held = p.sweepPage(ctx)
+			sweeper.Reset(p.untilSweep())
+		}
 		for held && p.waiting() {
 			if p.limiter.Wait(ctx) != nil {
 				return
--- a/internal/ledger/sweep.go
+++ b/internal/ledger/sweep.go
@@ -10,6 +10,8 @@
 const (
 	// sweepInterval is the time between pages of the retention sweep of one partition.
 	sweepInterval = 5 * time.Second
+	// sweepPause is the time between the end of a sweep and the start of the next one.
+	sweepPause = time.Minute
 	// sweepPageSize is the number of records that one page reads.
 	sweepPageSize = maxGroup
 )
@@ -46,6 +48,14 @@
 	return len(gone) == 0 || p.remove(ctx, gone)
 }
 
+// untilSweep returns the time until the next page.
+func (p *partition) untilSweep() time.Duration {
+	if p.sweepAfter == "" {
+		return sweepPause
+	}
+	return sweepInterval
+}
+
 // remove deletes records. Those that remain after a failure are found by the next round. It returns
 // false when the partition is lost.
 func (p *partition) remove(ctx context.Context, keys []string) bool {
--- a/internal/standin/kv/client.go
+++ b/internal/standin/kv/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/chivewind/chivewind/internal/etcdjson"
@@ -20,8 +21,8 @@
 // one of several daemons.
 type Client struct {
 	*Faults
-	// Timeout bounds each call.
-	Timeout time.Duration
+	// timeout bounds each call, in nanoseconds.
+	timeout atomic.Int64
 	store   *Store
 }
 
@@ -29,15 +30,20 @@
 
 // NewClient returns a client of a store.
 func NewClient(s *Store) *Client {
-	return &Client{Faults: &Faults{}, Timeout: DefaultTimeout, store: s}
+	c := &Client{Faults: &Faults{}, store: s}
+	c.SetTimeout(DefaultTimeout)
+	return c
 }
 
+// SetTimeout changes the bound of later calls.
+func (c *Client) SetTimeout(d time.Duration) { c.timeout.Store(int64(d)) }
+
 // Store returns the client's store.
 func (c *Client) Store() *Store { return c.store }
 
 // call runs one call and classifies its failure.
 func (c *Client) call(ctx context.Context, count func(*Counters), write bool, run func() error) error {
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.timeout.Load()))
 	defer cancel()
 	result := make(chan error, 1)
 	err := c.apply(ctx, count, write, func() { result <- run() })
@@ -129,6 +135,7 @@
 		if e, ok := errors.AsType[*RefusedError](err); ok && e.Code == etcdjson.CodeOutOfRange {
 			err = errors.Join(platform.ErrCompacted, err)
 		}
+		err = fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 		select {
 		case out <- platform.WatchReply{Err: err}:
 		case <-ctx.Done():
