Follow the class's target in time limits and spare unsent retries

Cause: a plain call of a class with a target of ten minutes was given up after one minute, and retries of requests that were never sent used up the budget while an endpoint was down and not yet ejected.

Change: the limit to the first byte is at least twice the target; a retry of an unsent request needs no budget.

Conclusion: time limits never undercut a class's own target.

--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -14,6 +14,7 @@
 // attempt is given up only when a working endpoint would long have answered.
 const (
 	firstTokenFactor  = 5
+	leastFactor       = 2
 	minFirstToken     = 5 * time.Second
 	maxFirstToken     = time.Minute
 	wholeAnswerFactor = 3
@@ -29,12 +30,14 @@
 	}
 	target := r.Class.FirstToken.D()
 	if r.Pool.Kind == config.KindPlain {
+		// A plain service may take the whole time before its first byte.
 		target = total
 	}
 	if target == 0 {
 		return maxFirstToken
 	}
-	return min(max(firstTokenFactor*target, minFirstToken), maxFirstToken)
+	limit := min(max(firstTokenFactor*target, minFirstToken), maxFirstToken)
+	return max(limit, leastFactor*target)
 }
 
 func overloaded(message string, after time.Duration) *Error {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -289,7 +289,8 @@
 	if v := r.continuable(res); v != nil {
 		return v
 	}
-	if !r.d.takeRetry(r.r.Class.Name) {
+	// A request of which nothing was sent cost no endpoint anything, so that it needs no budget.
+	if res.Sent && !r.d.takeRetry(r.r.Class.Name) {
 		return r.giveUp(res)
 	}
 	r.d.counters.retries.Inc(1)
