--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -23,7 +23,7 @@
 func benchmarkAcquire(b *testing.B, remote bool) {
 	owner := &peer.Member{Id: "owner", Incarnation: 1}
 	log := newGrantLog()
-	s := New(Config{Members: clustertest.NewMembers(owner, owner), NewPolicy: func() policy.Policy {
+	s := New(Config{Members: clustertest.NewView(owner, owner), NewPolicy: func() policy.Policy {
 		return &fifo{log: log, running: map[policy.AttemptID]string{}, granted: map[policy.AttemptID]bool{}}
 	}})
 	server, err := peerconn.NewServer(peerconn.ServerConfig{
@@ -35,10 +35,10 @@
 	owner.PeerAddress = server.Address()
 	registry := metrics.NewRegistry()
 	pool := peerconn.NewPool(peerconn.Config{Metrics: registry})
-	cfg := ClientConfig{Members: clustertest.NewMembers(owner, owner), Peers: pool, Local: s}
+	cfg := ClientConfig{Members: clustertest.NewView(owner, owner), Peers: pool, Local: s}
 	if remote {
 		entry := &peer.Member{Id: "entry", Incarnation: 1}
-		cfg = ClientConfig{Members: clustertest.NewMembers(entry, owner), Peers: pool}
+		cfg = ClientConfig{Members: clustertest.NewView(entry, owner), Peers: pool}
 	}
 	c := NewClient(cfg)
 	snapshot := testSnapshot(b, 4, 64, 0)
--- a/test/integration/callers_test.go
+++ b/test/integration/callers_test.go
@@ -217,26 +217,25 @@
 		ByKey map[string]int `json:"by_key"`
 	}
 	eventually(t, requestBound, "runs of "+v.id, func() error {
-		resp, err := http.Get("http://" + v.addr + "/admin/runs")
-		if err != nil {
-			return err
-		}
-		defer resp.Body.Close()
-		return json.NewDecoder(resp.Body).Decode(&runs)
+		return getJSON("http://"+v.addr+"/admin/runs", &runs)
 	})
 	return runs.ByKey
 }
 
 func (s *system) getJSON(url string, into any) {
 	s.t.Helper()
+	if err := getJSON(url, into); err != nil {
+		s.t.Fatalf("%s: %v", url, err)
+	}
+}
+
+func getJSON(url string, into any) error {
 	resp, err := http.Get(url)
 	if err != nil {
-		s.t.Fatal(err)
+		return err
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
-		s.t.Fatalf("%s: %v", url, err)
-	}
+	return json.NewDecoder(resp.Body).Decode(into)
 }
 
 // setFaults posts fault switches to a stand-in.
--- /dev/null
+++ b/test/integration/fault_config_test.go
@@ -0,0 +1,264 @@
+package integration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chivewind/chivewind/adminapi"
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/internal/checker"
+	"github.com/chivewind/chivewind/internal/faultproxy"
+)
+
+// admin returns a client of a daemon's administration API.
+func (d *daemon) adminClient() *adminapi.Client { return &adminapi.Client{Base: "http://" + d.admin} }
+
+// watchRevisions logs the revision that each daemon has in force until the test ends.
+func (s *system) watchRevisions() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	s.t.Cleanup(func() { cancel(); wg.Wait() })
+	for _, d := range s.daemons {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				call, done := context.WithTimeout(ctx, time.Second)
+				var got adminapi.Config
+				if d.adminClient().Get(call, "/admin/v1/config", &got) == nil {
+					s.log.revision(d.id, got.Revision)
+				}
+				done()
+				select {
+				case <-time.After(pollInterval):
+				case <-ctx.Done():
+				}
+			}
+		})
+	}
+}
+
+// switchPreset switches through a daemon, on the revision of the preset that it shows.
+func (s *system) switchPreset(d *daemon, name string) (adminapi.Change, error) {
+	ctx := withTimeout(s.t, requestBound)
+	var p config.Preset
+	if err := d.adminClient().Get(ctx, "/admin/v1/presets/"+name, &p); err != nil {
+		return adminapi.Change{}, err
+	}
+	var change adminapi.Change
+	err := d.adminClient().Send(ctx, http.MethodPost, "/admin/v1/switch", adminapi.SwitchRequest{Preset: name, PresetRevision: p.Revision}, 0, &change)
+	if err == nil {
+		s.log.add(checker.Event{Kind: checker.ChangeAccepted, Revision: change.Revision})
+	}
+	return change, err
+}
+
+// TestFaultOperatorsRace guards against two operators who both believe that their edit of the same
+// version of a preset was accepted.
+func TestFaultOperatorsRace(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, options{daemons: 3, engines: 1})
+	for round := range 5 {
+		var p config.Preset
+		if err := s.daemons[0].adminClient().Get(withTimeout(t, requestBound), "/admin/v1/presets/peak", &p); err != nil {
+			t.Fatal(err)
+		}
+		results := make([]error, 3)
+		changes := make([]adminapi.Change, 3)
+		var wg sync.WaitGroup
+		for i, d := range s.daemons {
+			wg.Go(func() {
+				edited := p
+				edited.Classes = append([]config.Class(nil), p.Classes...)
+				edited.Classes[0].FirstToken = config.Duration(time.Duration(1000+100*round+i) * time.Millisecond)
+				results[i] = d.adminClient().Send(withTimeout(t, requestBound), http.MethodPut, "/admin/v1/presets/peak", edited, p.Revision, &changes[i])
+			})
+		}
+		wg.Wait()
+		accepted := uint64(0)
+		for i, err := range results {
+			var apiErr *adminapi.Error
+			switch {
+			case err == nil && accepted == 0:
+				accepted = changes[i].Revision
+			case err == nil:
+				t.Errorf("round %d: two edits of the same version were accepted: revisions %d and %d", round, accepted, changes[i].Revision)
+			case !errors.As(err, &apiErr) || apiErr.Code != adminapi.CodeConflict || apiErr.CurrentPreset == nil || apiErr.SeenPreset == nil:
+				t.Errorf("round %d: want a conflict with both versions, got %#v", round, err)
+			}
+		}
+		if accepted == 0 {
+			t.Fatalf("round %d: no edit was accepted: %v", round, results)
+		}
+		s.waitRevision(accepted)
+	}
+	s.log.check()
+}
+
+// TestFaultLostReplyOfChange guards against a change that is reported as accepted or refused by guess
+// when the reply of the key-value service is lost.
+func TestFaultLostReplyOfChange(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, options{daemons: 3, engines: 1})
+	s.watchRevisions()
+	for _, name := range []string{"peak", "ordinary", "peak"} {
+		// Only the reply of the next write is lost; what follows can settle it.
+		s.postJSON("http://"+s.kv.addr+"/admin/faults", map[string]any{"writes": map[int]any{1: map[string]any{"drop": true}}})
+		change, err := s.switchPreset(s.daemons[1], name)
+		if err != nil {
+			t.Fatalf("switch to %s with one lost reply: %v; want it settled by reading back", name, err)
+		}
+		s.waitRevision(change.Revision)
+		s.requirePreset(name)
+	}
+	// The write takes effect, and its reply and all later reads are lost: the outcome stays unknown
+	// until the service can be reached again.
+	s.postJSON("http://"+s.kv.addr+"/admin/faults", map[string]any{"writes": map[int]any{1: map[string]any{"after_ns": requestBound}}})
+	writes := s.kvWrites()
+	result := make(chan error, 1)
+	go func() {
+		_, err := s.switchPreset(s.daemons[1], "ordinary")
+		result <- err
+	}()
+	eventually(t, requestBound, "the write arrives", func() error {
+		if s.kvWrites() == writes {
+			return errors.New("no write")
+		}
+		return nil
+	})
+	s.daemons[1].kv.Set(faultproxy.Fault{Cut: true})
+	err := <-result
+	var apiErr *adminapi.Error
+	if !errors.As(err, &apiErr) || apiErr.Code != adminapi.CodeUnknown || apiErr.AttemptID == "" {
+		t.Fatalf("switch with lost reply and lost reads: %#v, want unknown with an attempt id", err)
+	}
+	s.daemons[1].kv.Set(faultproxy.Fault{})
+	var attempt adminapi.Attempt
+	eventually(t, requestBound, "settle the attempt", func() error {
+		if err := s.daemons[1].adminClient().Get(withTimeout(t, requestBound), "/admin/v1/attempts/"+apiErr.AttemptID, &attempt); err != nil {
+			return err
+		}
+		if attempt.Outcome == "unknown" {
+			return errors.New("still unknown")
+		}
+		return nil
+	})
+	want := "peak"
+	if attempt.Outcome == "accepted" {
+		want = "ordinary"
+		s.waitRevision(attempt.Revision)
+	}
+	s.requirePreset(want)
+	s.log.check()
+}
+
+// kvWrites returns the number of transactions that the key-value service has got.
+func (s *system) kvWrites() int {
+	s.t.Helper()
+	var count struct {
+		Txns int `json:"txns"`
+	}
+	s.getJSON("http://"+s.kv.addr+"/admin/counters", &count)
+	return count.Txns
+}
+
+// requirePreset checks the preset in force on every daemon.
+func (s *system) requirePreset(name string) {
+	s.t.Helper()
+	for _, d := range s.daemons {
+		var list adminapi.PresetList
+		if err := d.adminClient().Get(withTimeout(s.t, requestBound), "/admin/v1/presets", &list); err != nil {
+			s.t.Fatal(err)
+		}
+		if list.InForce != name {
+			s.t.Errorf("%s has preset %q in force, want %q", d.id, list.InForce, name)
+		}
+	}
+}
+
+// TestFaultNeverReverts guards against a daemon that goes back to an older configuration: after a
+// freeze, after a start from peers while the key-value service is down, and when the service shows an
+// older state.
+func TestFaultNeverReverts(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, options{daemons: 3, engines: 1})
+	s.watchRevisions()
+	s.daemons[2].freeze()
+	var last adminapi.Change
+	for i := range 4 {
+		change, err := s.switchPreset(s.daemons[0], []string{"peak", "ordinary"}[i%2])
+		if err != nil {
+			t.Fatal(err)
+		}
+		last = change
+	}
+	wait(7 * time.Second)
+	s.daemons[2].thaw()
+	s.waitRevision(last.Revision)
+
+	kvCut.begin(s)
+	if _, err := s.switchPreset(s.daemons[0], "peak"); err == nil {
+		t.Error("a switch was accepted while the key-value service was down")
+	}
+	s.daemons[1].kill()
+	s.startDaemon(s.daemons[1])
+	s.waitRevision(last.Revision)
+	kvCut.heal(s)
+
+	// The service loses its state: what is in force stays in force.
+	s.kv.kill()
+	s.kv.process = startProcess(t, s.dir, "kv", "standin", "kv", "--listen", s.kv.addr)
+	wait(4 * time.Second)
+	s.waitRevision(last.Revision)
+	s.log.check()
+}
+
+// TestFaultConfigDuringOutage guards against edits that hang or are half accepted during an outage of
+// the key-value service.
+func TestFaultConfigDuringOutage(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, options{daemons: 2, engines: 1})
+	kvCut.begin(s)
+	begin := time.Now()
+	_, err := s.switchPreset(s.daemons[0], "peak")
+	var apiErr *adminapi.Error
+	if !errors.As(err, &apiErr) || apiErr.Code != adminapi.CodeUnavailable {
+		t.Errorf("switch during an outage: %#v, want unavailable", err)
+	}
+	if took := time.Since(begin); took > configBound {
+		t.Errorf("the answer took %v, want less than %v", took, configBound)
+	}
+	a := s.send(withTimeout(t, requestBound), s.daemons[0], chat{id: "r", prompt: "q", maxTokens: 5, workspace: "show"})
+	if err := a.mustComplete(); err != nil {
+		t.Error(err)
+	}
+	b := s.book(withTimeout(t, requestBound), s.daemons[0], "k", "{}")
+	if b.outcome == checker.Completed {
+		t.Error("a booking ran without its record in the key-value service")
+	}
+	kvCut.heal(s)
+	eventually(t, recovery, "switch after the outage", func() error {
+		_, err := s.switchPreset(s.daemons[0], "peak")
+		return err
+	})
+	s.log.check()
+}
+
+// TestConfigSpreadTime measures the time until a change is in force on every daemon.
+func TestConfigSpreadTime(t *testing.T) {
+	s := newSystem(t, options{daemons: 8, engines: 1})
+	var worst time.Duration
+	for i := range 6 {
+		change, err := s.switchPreset(s.daemons[i], []string{"peak", "ordinary"}[i%2])
+		if err != nil {
+			t.Fatal(err)
+		}
+		begin := time.Now()
+		s.waitRevision(change.Revision)
+		worst = max(worst, time.Since(begin))
+	}
+	t.Log(fmt.Sprintf("6 changes, 8 daemons: in force everywhere after at most %v", worst))
+}
--- a/test/integration/fault_table_test.go
+++ b/test/integration/fault_table_test.go
@@ -20,17 +20,21 @@
 
 // The faults of single parts. Each is also part of a pair.
 var (
-	engineCrash   = fault{desc: "engine crashes", begin: func(s *system) { s.crash(s.engines[0], "1500ms") }}
-	engineFreeze  = fault{desc: "engine frozen", begin: func(s *system) { s.engines[0].freeze() }, end: func(s *system) { s.engines[0].thaw() }}
-	engineCut     = proxyFault("engine cut off", func(s *system) *faultproxy.Proxy { return s.engines[0].proxy }, faultproxy.Fault{Cut: true})
-	engineSilent  = proxyFault("engine connections go silent", func(s *system) *faultproxy.Proxy { return s.engines[0].proxy }, faultproxy.Fault{SilenceOpen: true})
-	engineOneWay  = proxyFault("engine's answers are lost", func(s *system) *faultproxy.Proxy { return s.engines[0].proxy }, faultproxy.Fault{DropToClient: true})
-	engineSlow    = proxyFault("engine slow to reach", func(s *system) *faultproxy.Proxy { return s.engines[0].proxy }, faultproxy.Fault{Latency: 100 * time.Millisecond, Jitter: 100 * time.Millisecond})
-	daemonKill    = fault{desc: "daemon killed and replaced", begin: func(s *system) { s.daemons[0].kill() }, end: func(s *system) { s.startDaemon(s.daemons[0]) }}
-	daemonFreeze  = fault{desc: "daemon frozen", begin: func(s *system) { s.daemons[1].freeze() }, end: func(s *system) { s.daemons[1].thaw() }, lasts: 8 * time.Second}
-	peerCut       = proxyFault("daemon cut off from peers", func(s *system) *faultproxy.Proxy { return s.daemons[0].peer }, faultproxy.Fault{Cut: true})
-	peerOneWay    = proxyFault("daemon receives nothing from peers", func(s *system) *faultproxy.Proxy { return s.daemons[0].peer }, faultproxy.Fault{DropToServer: true})
-	peerSilent    = proxyFault("peer connections go silent", func(s *system) *faultproxy.Proxy { return s.daemons[0].peer }, faultproxy.Fault{SilenceOpen: true})
+	engineCrash  = fault{desc: "engine crashes", begin: func(s *system) { s.crash(s.engines[0], "1500ms") }}
+	engineFreeze = fault{desc: "engine frozen", begin: func(s *system) { s.engines[0].freeze() }, end: func(s *system) { s.engines[0].thaw() }}
+	engineCut    = proxyFault("engine cut off", func(s *system) *faultproxy.Proxy { return s.engines[0].proxy }, faultproxy.Fault{Cut: true})
+	engineSilent = proxyFault("engine connections go silent", func(s *system) *faultproxy.Proxy { return s.engines[0].proxy }, faultproxy.Fault{SilenceOpen: true})
+	engineOneWay = proxyFault("engine's answers are lost", func(s *system) *faultproxy.Proxy { return s.engines[0].proxy }, faultproxy.Fault{DropToClient: true})
+	engineSlow   = proxyFault("engine slow to reach", func(s *system) *faultproxy.Proxy { return s.engines[0].proxy }, faultproxy.Fault{Latency: 100 * time.Millisecond, Jitter: 100 * time.Millisecond})
+	daemonKill   = fault{desc: "daemon killed and replaced", begin: func(s *system) { s.daemons[0].kill() }, end: func(s *system) { s.startDaemon(s.daemons[0]) }}
+	daemonFreeze = fault{desc: "daemon frozen", begin: func(s *system) { s.daemons[1].freeze() }, end: func(s *system) { s.daemons[1].thaw() }, lasts: 8 * time.Second}
+	peerCut      = proxyFault("daemon cut off from peers", func(s *system) *faultproxy.Proxy { return s.daemons[0].peer }, faultproxy.Fault{Cut: true})
+	peerOneWay   = proxyFault("daemon receives nothing from peers", func(s *system) *faultproxy.Proxy { return s.daemons[0].peer }, faultproxy.Fault{DropToServer: true})
+	peerSilent   = proxyFault("peer connections go silent", func(s *system) *faultproxy.Proxy { return s.daemons[0].peer }, faultproxy.Fault{SilenceOpen: true})
+	peersAllCut  = fault{desc: "all daemons cut off from each other", lasts: 8 * time.Second,
+		begin: func(s *system) { s.setPeers(faultproxy.Fault{Cut: true}) },
+		end:   func(s *system) { s.setPeers(faultproxy.Fault{}) },
+	}
 	kvCut         = kvFault("key-value service down", faultproxy.Fault{Cut: true})
 	kvSilent      = kvFault("key-value connections go silent", faultproxy.Fault{SilenceOpen: true})
 	kvLostReplies = kvFault("key-value replies lost", faultproxy.Fault{LoseReplies: true})
@@ -47,6 +51,13 @@
 	}
 }
 
+// setPeers sets a fault between all daemons.
+func (s *system) setPeers(f faultproxy.Fault) {
+	for _, d := range s.daemons {
+		d.peer.Set(f)
+	}
+}
+
 // kvFault is a fault between every daemon and the key-value service.
 func kvFault(desc string, f faultproxy.Fault) fault {
 	set := func(f faultproxy.Fault) func(*system) {
@@ -87,7 +98,7 @@
 func TestFaultTable(t *testing.T) {
 	for _, f := range []fault{
 		engineCrash, engineFreeze, engineCut, engineSilent, engineOneWay, engineSlow,
-		daemonKill, daemonFreeze, peerCut, peerOneWay, peerSilent,
+		daemonKill, daemonFreeze, peerCut, peerOneWay, peerSilent, peersAllCut,
 		kvCut, kvSilent, kvLostReplies, kvSlow, plainCrash,
 		pair(engineCrash, daemonKill), pair(engineSilent, peerSilent), pair(kvCut, daemonKill),
 		pair(kvLostReplies, plainCrash), pair(daemonFreeze, kvLostReplies), pair(peerOneWay, engineCrash),
