Do not offer requests for preemption that cannot be made up for

Cause: the dispatcher ignores a preemption of a non-idempotent request, so the policy would count on a slot that does not become free. Change: such requests carry the mark of requests that were preempted before, which the policy leaves alone. Conclusion: dispatch tests pass.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -162,7 +162,7 @@
 		PromptTokens: uint32(r.r.PromptTokens), MaxTokens: uint32(r.r.MaxTokens), ResumedTokens: uint32(tokens),
 		WaitedUs: uint64(time.Since(r.r.Arrival).Microseconds()),
 		Blocks:   r.r.Blocks, Avoid: r.avoid, AvoidZone: r.avoidZone,
-		Suspect: r.suspect, Preempted: r.preempted,
+		Suspect: r.suspect, Preempted: r.preempted || !r.mayPreempt(),
 	}
 	if !r.r.Deadline.IsZero() {
 		a.RemainingUs = uint64(max(time.Until(r.r.Deadline).Microseconds(), 1))
--- a/test/integration/fault_config_test.go
+++ b/test/integration/fault_config_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -260,5 +259,5 @@
 		s.waitRevision(change.Revision)
 		worst = max(worst, time.Since(begin))
 	}
-	t.Log(fmt.Sprintf("6 changes, 8 daemons: in force everywhere after at most %v", worst))
+	t.Logf("6 changes, 8 daemons: in force everywhere after at most %v", worst)
 }
