Drain what the kernel has accepted before the listener closes

Closing a listener resets connections that wait in its queue. Change: the drain waits 500 ms and drains again; load tests log examples of answers that are not completed.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,13 +163,30 @@
 	case <-force.Done():
 		return oops.With("step", "wait for entry answers").Wrap(force.Err())
 	}
-	n.log.Info("draining", "requests", n.front.InFlight())
-	if err := n.front.Drain(force); err != nil {
+	if err := n.drain(force); err != nil {
 		return oops.With("step", "drain").Wrap(err)
 	}
 	return n.close()
 }
 
+// acceptGrace is the time in which a connection that the kernel has already accepted must have become
+// a request. Closing the listener resets connections that the process has not accepted yet.
+const acceptGrace = 500 * time.Millisecond
+
+// drain waits for the requests in progress, also for those that are still in the listener's queue.
+func (n *Node) drain(force context.Context) error {
+	n.log.Info("draining", "requests", n.front.InFlight())
+	if err := n.front.Drain(force); err != nil {
+		return err
+	}
+	select {
+	case <-time.After(acceptGrace):
+	case <-force.Done():
+		return force.Err()
+	}
+	return n.front.Drain(force)
+}
+
 // close ends all parts. Requests that arrive now are refused by the closed listener.
 func (n *Node) close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- a/test/integration/load_test.go
+++ b/test/integration/load_test.go
@@ -63,10 +63,17 @@
 	return l.outcomes
 }
 
-func (l *load) count(kind string, o checker.Outcome) {
+// maxExamples bounds the answers that are logged for each kind of request and outcome.
+const maxExamples = 3
+
+func (l *load) count(kind string, d *daemon, a answer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.outcomes[kind+" "+string(o)]++
+	name := kind + " " + string(a.outcome)
+	l.outcomes[name]++
+	if a.outcome != checker.Completed && l.outcomes[name] <= maxExamples {
+		l.s.t.Logf("%v %s through %s: status %d, cut %v, error %v, text %.300q", time.Since(l.s.log.start), name, d.id, a.status, a.cut, a.err, a.text)
+	}
 }
 
 // entry picks one of the addresses that a random daemon names, as a caller does that keeps an
@@ -121,8 +128,8 @@
 	c := chat{id: fmt.Sprintf("chat-%d", n), prompt: fmt.Sprintf("question %d about species %d", n, rng.IntN(5)), maxTokens: 5 + rng.IntN(60), workspace: "show"}
 	ctx, cancel := context.WithTimeout(context.Background(), loadRequestBound)
 	defer cancel()
-	a := l.s.send(ctx, l.entry(rng), c)
-	l.count("chat", a.outcome)
+	d := l.entry(rng)
+	l.count("chat", d, l.s.send(ctx, d, c))
 }
 
 // loadRequestBound is above the longest time that the classes of the tests allow a request.
@@ -141,10 +148,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), loadRequestBound)
 		id := fmt.Sprintf("%s/%d", key, try)
 		l.s.log.add(checker.Event{Kind: checker.CallerSent, Request: id})
-		a := l.s.book(ctx, l.entry(rng), key, `{"tree":"`+key+`"}`)
+		d := l.entry(rng)
+		a := l.s.book(ctx, d, key, `{"tree":"`+key+`"}`)
 		cancel()
 		l.s.log.add(checker.Event{Kind: checker.CallerDone, Request: id, Key: key, Outcome: a.outcome})
-		l.count("booking", a.outcome)
+		l.count("booking", d, a)
 		if a.outcome == checker.Completed || l.ctx.Err() != nil {
 			return
 		}
