--- a/internal/configstore/documents.go
+++ b/internal/configstore/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 
 	"github.com/chivewind/chivewind/config"
@@ -27,6 +28,9 @@
 		return
 	}
 	for name, ref := range h.Parts {
+		if have, _ := s.Documents.Get(partPrefix + name); have >= ref.Revision {
+			continue
+		}
 		if content := parts[name]; digest(content) == ref.Digest {
 			s.Documents.Publish(partPrefix+name, ref.Revision, content)
 		}
@@ -52,13 +56,7 @@
 		s.Log.Error("configuration head is malformed", "revision", version, "error", err)
 		return false
 	}
-	parts := map[string][]byte{}
-	for name, ref := range h.Parts {
-		if have, content := s.Documents.Get(partPrefix + name); have == ref.Revision {
-			parts[name] = content
-		}
-	}
-	c, err := h.join(parts)
+	c, err := s.load(&h)
 	if err != nil {
 		s.Log.Debug("configuration is incomplete", "revision", h.Revision, "error", err)
 		return false
@@ -72,6 +70,28 @@
 	return true
 }
 
+// load makes the configuration of a head from the documents. It decodes only parts that changed
+// since the last one. The caller holds assembling.
+func (s *Store) load(h *head) (*config.Config, error) {
+	parts := map[string]part{}
+	for name, ref := range h.Parts {
+		p, ok := s.parts[name]
+		if !ok || p.digest != ref.Digest {
+			have, content := s.Documents.Get(partPrefix + name)
+			if have != ref.Revision {
+				return nil, fmt.Errorf("part %s has revision %d, want %d", name, have, ref.Revision)
+			}
+			var err error
+			if p, err = decodePart(name, ref, content); err != nil {
+				return nil, err
+			}
+		}
+		parts[name] = p
+	}
+	s.parts = parts
+	return h.combine(parts), nil
+}
+
 // activate puts a snapshot in force. The caller holds assembling.
 func (s *Store) activate(snapshot *config.Snapshot) {
 	s.snapshot.Store(snapshot)
--- a/internal/configstore/head.go
+++ b/internal/configstore/head.go
@@ -119,30 +119,54 @@
 	return fmt.Sprintf("workspaces-%02d", xxhash.Sum64String(workspace)%workspaceParts)
 }
 
+// part is a decoded part; only the field of its kind is set.
+type part struct {
+	digest     string
+	base       base
+	workspaces []config.Workspace
+}
+
+// decodePart decodes a part that must have the digest that the head names.
+func decodePart(name string, ref partRef, raw []byte) (part, error) {
+	p := part{digest: digest(raw)}
+	if p.digest != ref.Digest {
+		return p, fmt.Errorf("part %s of revision %d is missing or differs", name, ref.Revision)
+	}
+	var into any = &p.workspaces
+	if name == partBase {
+		into = &p.base
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return p, fmt.Errorf("part %s: %w", name, err)
+	}
+	return p, nil
+}
+
 // join decodes the parts of a head. It fails when a part is missing or is not the head's.
 func (h *head) join(parts map[string][]byte) (*config.Config, error) {
-	c := &config.Config{Preset: h.Preset}
+	decoded := map[string]part{}
 	for name, ref := range h.Parts {
-		raw := parts[name]
-		if digest(raw) != ref.Digest {
-			return nil, fmt.Errorf("part %s of revision %d is missing or differs", name, h.Revision)
-		}
-		if name == partBase {
-			var b base
-			if err := json.Unmarshal(raw, &b); err != nil {
-				return nil, fmt.Errorf("part %s: %w", name, err)
-			}
-			c.Presets, c.Pools, c.Endpoints, c.Routes, c.Operators = b.Presets, b.Pools, b.Endpoints, b.Routes, b.Operators
-			continue
-		}
-		var group []config.Workspace
-		if err := json.Unmarshal(raw, &group); err != nil {
-			return nil, fmt.Errorf("part %s: %w", name, err)
+		p, err := decodePart(name, ref, parts[name])
+		if err != nil {
+			return nil, err
 		}
-		c.Workspaces = append(c.Workspaces, group...)
+		decoded[name] = p
+	}
+	return h.combine(decoded), nil
+}
+
+// combine makes the configuration from the decoded parts. It shares their lists.
+func (h *head) combine(parts map[string]part) *config.Config {
+	c := &config.Config{Preset: h.Preset}
+	if b, ok := parts[partBase]; ok {
+		c.Presets, c.Pools, c.Endpoints = b.base.Presets, b.base.Pools, b.base.Endpoints
+		c.Routes, c.Operators = b.base.Routes, b.base.Operators
+	}
+	for _, p := range parts {
+		c.Workspaces = append(c.Workspaces, p.workspaces...)
 	}
 	sort.Slice(c.Workspaces, func(i, j int) bool { return c.Workspaces[i].Name < c.Workspaces[j].Name })
-	return c, nil
+	return c
 }
 
 func digest(raw []byte) string {
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -42,7 +42,10 @@
 	wake chan struct{}
 
 	// assembling allows one assembly at a time, so that snapshots appear in order.
-	assembling  sync.Mutex
+	assembling sync.Mutex
+	// parts are the decoded parts of the snapshot, guarded by assembling.
+	parts map[string]part
+
 	mu          sync.Mutex
 	subscribers []func(*config.Snapshot)
 	// pending are audit entries that could not be written yet.
