Bound the ledger's queue by bytes and look at ownership less often

Change: the queue of a partition is bounded to 4 MiB of responses. Owners are computed after a change of the members only.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -218,11 +218,14 @@
 		return nil, err
 	}
 	s.mu.Lock()
-	_, busy := s.holders[role]
-	if s.id != id || busy {
+	if _, busy := s.holders[role]; busy {
 		s.mu.Unlock()
 		return nil, ErrHeld
 	}
+	if s.id != id {
+		s.mu.Unlock()
+		return nil, ErrLost
+	}
 	s.holders[role] = 0
 	s.mu.Unlock()
 	// A release without reply may still delete the present key, so the role is not taken over it.
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -44,11 +44,12 @@
 	for len(p.queue) > 0 && len(g.actions)+settlements < maxGroup && size < maxGroupBytes {
 		a := p.queue[0]
 		p.queue = p.queue[1:]
+		p.queuedBytes -= a.size()
 		if a.ctx.Err() != nil {
 			a.answer(unavailable())
 			continue
 		}
-		size += len(a.req.GetRecord().GetAnswer())
+		size += a.size()
 		if a.req.Action == peer.LedgerRequest_ACTION_SETTLE {
 			settlements++
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -119,33 +119,47 @@
 	defer stopBackground()
 	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
+	wanted := l.wanted()
 	for ctx.Err() == nil {
-		l.reconcile(ctx)
+		l.reconcile(ctx, wanted)
 		select {
 		case <-ctx.Done():
 		case <-l.wake:
+			wanted = l.wanted()
 		case <-ticker.C:
 		}
 	}
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
-	for _, p := range l.leave(func(uint32) bool { return false }) {
+	for _, p := range l.leave(partitionSet{}) {
 		p.stop()
 	}
 	// The end of the lease frees all partitions at once.
 	return l.session.Close(stopCtx)
 }
 
+// partitionSet says for each partition whether it is in the set.
+type partitionSet [Partitions]bool
+
+// wanted returns the partitions that belong to this daemon by its view of the members.
+func (l *Ledger) wanted() partitionSet {
+	var set partitionSet
+	for id := range uint32(Partitions) {
+		set[id] = cluster.IsOwner(l.Members, role(id))
+	}
+	return set
+}
+
 // reconcile gives up partitions that belong to other daemons, then takes those that belong here.
-func (l *Ledger) reconcile(ctx context.Context) {
-	wanted := func(id uint32) bool {
-		return l.Members.Trusted() && cluster.IsOwner(l.Members, role(id))
+func (l *Ledger) reconcile(ctx context.Context, wanted partitionSet) {
+	if !l.Members.Trusted() {
+		wanted = partitionSet{}
 	}
 	l.giveUp(ctx, wanted)
 	var missing []uint32
 	l.mu.Lock()
 	for id := range uint32(Partitions) {
-		if l.owned[id] == nil && wanted(id) {
+		if l.owned[id] == nil && wanted[id] {
 			missing = append(missing, id)
 		}
 	}
@@ -159,12 +173,12 @@
 }
 
 // leave removes the partitions that are lost or not wanted from the owned ones.
-func (l *Ledger) leave(wanted func(uint32) bool) []*partition {
+func (l *Ledger) leave(wanted partitionSet) []*partition {
 	var leaving []*partition
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, p := range l.owned {
-		if !wanted(id) || p.ended() {
+		if !wanted[id] || p.ended() {
 			delete(l.owned, id)
 			leaving = append(leaving, p)
 		}
@@ -173,7 +187,7 @@
 }
 
 // giveUp stops and releases the partitions that are lost or not wanted.
-func (l *Ledger) giveUp(ctx context.Context, wanted func(uint32) bool) {
+func (l *Ledger) giveUp(ctx context.Context, wanted partitionSet) {
 	var group errgroup.Group
 	group.SetLimit(parallelAcquisitions)
 	for _, p := range l.leave(wanted) {
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -23,6 +23,8 @@
 	txnBurst = txnRate
 	// maxQueue bounds the actions that wait in one partition.
 	maxQueue = 2000
+	// maxQueueBytes bounds the responses that wait in one partition.
+	maxQueueBytes = 4 << 20
 	// cacheSize bounds the records that a partition keeps in memory.
 	cacheSize = 512
 	// maxCachedAnswer is the size of the largest response that the cache keeps, in bytes.
@@ -38,6 +40,9 @@
 	decided decision
 }
 
+// size is the size of the response in the action, in bytes.
+func (a *action) size() int { return len(a.req.GetRecord().GetAnswer()) }
+
 // answer sends the reply once; later ones are dropped.
 func (a *action) answer(r *peer.LedgerReply) {
 	select {
@@ -72,7 +77,9 @@
 
 	mu    sync.Mutex
 	queue []*action
-	cache map[string]cached
+	// queuedBytes is the size of the responses in the queue.
+	queuedBytes int
+	cache       map[string]cached
 	// order lists the cached keys, the oldest first.
 	order []string
 }
@@ -165,11 +172,12 @@
 func (p *partition) submit(ctx context.Context, req *peer.LedgerRequest) (*peer.LedgerReply, error) {
 	a := &action{ctx: ctx, req: req, reply: make(chan *peer.LedgerReply, 1)}
 	p.mu.Lock()
-	if len(p.queue) >= maxQueue {
+	if len(p.queue) >= maxQueue || p.queuedBytes >= maxQueueBytes {
 		p.mu.Unlock()
 		return unavailable(), nil
 	}
 	p.queue = append(p.queue, a)
+	p.queuedBytes += a.size()
 	p.mu.Unlock()
 	p.signal()
 	select {
