Number configuration changes above what daemons have

Cause: when the key-value service comes back with older data, the next accepted change had a revision that daemons keep out as older, so it would never be in force.

Conclusion: a change after a restoration of the service reaches all daemons in virtual time.

--- a/internal/configstore/bench_test.go
+++ b/internal/configstore/bench_test.go
@@ -49,7 +49,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		h, _, _ = h.next("day", "attempt", parts)
+		h, _, _ = h.next(h.Revision+1, "day", "attempt", parts)
 		raw, err := json.Marshal(h)
 		if err != nil {
 			b.Fatal(err)
--- a/internal/configstore/change.go
+++ b/internal/configstore/change.go
@@ -105,7 +105,7 @@
 		if n.Preset == "" {
 			n.Preset = st.head.Preset
 		}
-		n.Presets = stampPresets(c.Presets, st.config, st.head.Revision+1)
+		n.Presets = stampPresets(c.Presets, st.config, st.next)
 		return &n, nil, nil
 	})
 }
@@ -133,7 +133,7 @@
 		if !ok {
 			n.Presets = append(n.Presets, p)
 		}
-		n.Presets = stampPresets(n.Presets, st.config, st.head.Revision+1)
+		n.Presets = stampPresets(n.Presets, st.config, st.next)
 		return &n, nil, nil
 	})
 }
@@ -180,7 +180,7 @@
 			return Result{Outcome: Conflicting, Revision: st.head.Revision, Reason: reason, Conflict: conflict}
 		}
 		if err == nil {
-			err = s.check(c, st.head.Revision+1)
+			err = s.check(c, st.next)
 		}
 		if err != nil {
 			return Result{Outcome: Invalid, Reason: err.Error()}
@@ -228,6 +228,10 @@
 	if err != nil {
 		return nil, seq, err
 	}
+	st.next = st.head.Revision + 1
+	if current := s.Snapshot(); current != nil {
+		st.next = max(st.next, current.Revision+1)
+	}
 	st.config, err = st.head.join(st.parts)
 	return st, seq, err
 }
@@ -240,7 +244,7 @@
 	}
 	n := &state{parts: parts, config: c}
 	var changed, gone []string
-	n.head, changed, gone = st.head.next(c.Preset, e.Attempt, parts)
+	n.head, changed, gone = st.head.next(st.next, c.Preset, e.Attempt, parts)
 	if n.raw, err = json.Marshal(n.head); err != nil {
 		return platform.Txn{}, nil, err
 	}
--- a/internal/configstore/head.go
+++ b/internal/configstore/head.go
@@ -63,8 +63,11 @@
 	head     head
 	raw      []byte
 	modified int64
-	parts    map[string][]byte
-	config   *config.Config
+	// next is the revision of a change: above the head and above the snapshot in force, which is
+	// newer than the head when the service has lost data.
+	next   uint64
+	parts  map[string][]byte
+	config *config.Config
 }
 
 // decodeHead reads the head; an absent key is a head without configuration.
@@ -174,12 +177,14 @@
 	return hex.EncodeToString(sum[:16])
 }
 
-// next returns the head after a change, and the names of the parts that changed or went.
-func (h *head) next(preset, attempt string, parts map[string][]byte) (n head, changed, gone []string) {
-	n = head{Revision: h.Revision + 1, Preset: preset, Parts: map[string]partRef{}}
+// next returns the head of a revision after a change, and the names of the parts that changed or
+// went. When revisions are skipped, daemons may have newer parts than the head names, so all parts
+// count as changed.
+func (h *head) next(revision uint64, preset, attempt string, parts map[string][]byte) (n head, changed, gone []string) {
+	n = head{Revision: revision, Preset: preset, Parts: map[string]partRef{}}
 	for name, raw := range parts {
 		d := digest(raw)
-		if old, ok := h.Parts[name]; ok && old.Digest == d {
+		if old, ok := h.Parts[name]; ok && old.Digest == d && revision == h.Revision+1 {
 			n.Parts[name] = old
 			continue
 		}
--- a/internal/configstore/spread_test.go
+++ b/internal/configstore/spread_test.go
@@ -126,6 +126,13 @@
 		if b.docs.Publish(keyHead, 1, old.KVs[0].Value) {
 			t.Error("an older document is stored")
 		}
+		// A change after the loss must not be kept out as older than what daemons have.
+		clustertest.Link(a.docs, b.docs)
+		wantOutcome(t, "after the loss", a.SwitchPreset(t.Context(), alice, "night", 1), Accepted, 3)
+		time.Sleep(time.Second)
+		for _, d := range daemons {
+			wantInForce(t, "after the loss", d, 3, "night")
+		}
 	})
 }
 
