Check the request path for leaked goroutines

Cause: an attempt that is canceled, preempted or resumed ends several goroutines and connections, and nothing checked that none stays behind.

Change: the dispatcher's tests end with goleak.

Conclusion: no goroutine outlives its request in the tested faults.

--- /dev/null
+++ b/internal/dispatch/main_test.go
@@ -0,0 +1,10 @@
+package dispatch_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// Guards against goroutines and connections that outlive their request.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
