Measure attainment and clear the write deadline of earlier requests

Cause: nothing told operators how many requests of a class met its targets or how many tokens were wasted. A connection that was idle for longer than the write stall limit failed its next entry or model list request, because the server keeps the write deadline that the earlier answer had set.

Change: metrics per class: requests by outcome, attained requests, first token and answer times, useful and wasted tokens. The write deadline is cleared for each request. An assembled answer that the engine rejects as a stream, or whose tokens have no text, is asked for as the caller wrote it. Answers to HEAD keep their length; answers without a body get none.

The packages' tests passed with the race detector.

Conclusion: attainment, goodput and wasted work can be read from each daemon.

--- /dev/null
+++ b/internal/dispatch/assemble_test.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/endpoint"
+	"github.com/chivewind/chivewind/peer"
+)
+
+// scripted is a kind of endpoint whose streams have tokens without text, or are rejected.
+type scripted struct {
+	opaque, reject bool
+	attempts       []bool
+}
+
+func (k *scripted) Do(_ context.Context, a *endpoint.Attempt, s endpoint.Sink) endpoint.Result {
+	k.attempts = append(k.attempts, a.Assemble)
+	switch {
+	case a.Assemble && k.reject:
+		_ = s.Head(http.StatusBadRequest, http.Header{"Content-Type": {"application/json"}})
+		_ = s.Body([]byte("rejected"))
+		return endpoint.Result{Sent: true, Complete: true, Status: http.StatusBadRequest}
+	case a.Assemble && k.opaque:
+		_ = s.Head(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}})
+		err := s.Event(endpoint.Event{Kind: endpoint.EventToken, Index: 1, Data: []byte(`{"choices":[]}`)})
+		return endpoint.Result{Sent: true, Canceled: true, Status: http.StatusOK, Err: err}
+	}
+	_ = s.Head(http.StatusOK, http.Header{"Content-Type": {"application/json"}})
+	_ = s.Body([]byte("whole"))
+	return endpoint.Result{Sent: true, Complete: true, Status: http.StatusOK}
+}
+
+// oneSlot grants the endpoint e at once.
+type oneSlot struct{}
+
+func (oneSlot) Acquire(context.Context, string, *peer.Acquire) (Slot, error) { return oneSlot{}, nil }
+func (oneSlot) Endpoint() string                                             { return "e" }
+func (oneSlot) StartBy() time.Time                                           { return time.Now().Add(time.Second) }
+func (oneSlot) Preempted() <-chan struct{}                                   { return nil }
+func (oneSlot) Progress(int, time.Duration)                                  {}
+func (oneSlot) Finish(peer.Outcome, int, time.Duration, time.Duration)       {}
+
+// buffer is a caller's answer.
+type buffer struct {
+	bytes.Buffer
+	status int
+}
+
+func (b *buffer) Start(status int, _ http.Header, _ Outcome) error {
+	b.status = status
+	return nil
+}
+func (b *buffer) Flush() error { return nil }
+
+// Guards against whole answers that fail, or lose tokens without text, because they are asked for as
+// streams: the request must be sent again as the caller wrote it.
+func TestUnassembled(t *testing.T) {
+	snapshot, err := config.NewSnapshot(1, &config.Config{
+		Preset: "day", Presets: []config.Preset{{Name: "day"}},
+		Pools:     []config.Pool{{Name: "judging", Kind: config.KindEngine, Model: "m"}},
+		Endpoints: []config.Endpoint{{ID: "e", Pool: "judging"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		desc string
+		kind *scripted
+		// second is the number of attempts of the next request for the model.
+		second int
+	}{
+		{"tokens without text", &scripted{opaque: true}, 1},
+		{"streams rejected", &scripted{reject: true}, 2},
+	}
+	for _, c := range cases {
+		d := New(Options{
+			Scheduler: oneSlot{}, Snapshot: func() *config.Snapshot { return snapshot },
+			Kinds: map[config.PoolKind]endpoint.Kind{config.KindEngine: c.kind},
+		})
+		for i, attempts := range []int{2, c.second} {
+			c.kind.attempts = nil
+			out := &buffer{}
+			r := &Request{Pool: snapshot.Pools["judging"], Assemblable: true, Continuable: true, Arrival: time.Now()}
+			res := d.Do(context.Background(), r, out)
+			if res.Outcome != Completed || out.status != http.StatusOK || out.String() != "whole" || len(c.kind.attempts) != attempts {
+				t.Errorf("%s, request %d: %+v, status %d, body %q, attempts %v", c.desc, i, res, out.status, out.String(), c.kind.attempts)
+			}
+		}
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -59,6 +59,8 @@
 	announcements announcements
 	running       atomic.Int64
 
+	// measures has the *measures of each class.
+	measures sync.Map
 	// opaque has the models whose answers cannot be assembled.
 	opaque sync.Map
 
@@ -127,10 +129,9 @@
 		run.relay.assembling = true
 	}
 	run.suspect = d.suspects.crashes(fingerprint) > 0
-	if r.NonIdempotent {
-		return run.once(ctx)
-	}
-	return run.loop(ctx)
+	res := run.do(ctx)
+	run.measure(res)
+	return res
 }
 
 // takeRetry takes a retry of a class from the budget.
--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -50,3 +50,28 @@
 		t.Error("the start-by time is not checked on both clocks")
 	}
 }
+
+// Guards against an attainment that counts late answers, the measure by which operators judge a class.
+func TestAttains(t *testing.T) {
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	class := config.Class{FirstToken: config.Duration(ms(1200)), BetweenTokens: config.Duration(ms(34)), Total: config.Duration(ms(5000))}
+	cases := []struct {
+		desc  string
+		t     timing
+		class config.Class
+		want  bool
+	}{
+		{"in time", timing{firstToken: ms(1000), total: ms(4300), tokens: 101}, class, true},
+		{"late first token", timing{firstToken: ms(1300), total: ms(1400), tokens: 10}, class, false},
+		{"slow tokens", timing{firstToken: ms(100), total: ms(3600), tokens: 101}, class, false},
+		{"late end", timing{firstToken: ms(100), total: ms(5100), tokens: 1000}, class, false},
+		{"whole answer in time", timing{total: ms(900)}, class, true},
+		{"whole answer too late", timing{total: ms(1300)}, class, false},
+		{"no targets", timing{total: time.Hour}, config.Class{}, true},
+	}
+	for _, c := range cases {
+		if got := c.t.attains(c.class); got != c.want {
+			t.Errorf("%s: %v, want %v", c.desc, got, c.want)
+		}
+	}
+}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -40,6 +40,8 @@
 	// tokens and text are what the caller has of a streamed answer.
 	tokens int
 	text   []byte
+	// firstToken is when the first token came.
+	firstToken time.Time
 	// opaque says that a token had no text, so that the partial answer cannot be continued.
 	opaque bool
 	// opened says that the caller has received an event without a token, which engines send first.
@@ -210,6 +212,9 @@
 		return err
 	}
 	if token {
+		if l.tokens == 0 {
+			l.firstToken = time.Now()
+		}
 		l.tokens = e.Index
 		l.text = append(l.text, e.Text...)
 		l.opaque = l.opaque || len(e.Text) == 0
@@ -286,7 +291,14 @@
 	l.started = true
 	header := http.Header{}
 	endpoint.CopyHeader(header, l.header)
-	if o != "" && l.r.Method != http.MethodHead {
+	switch {
+	case l.r.Method == http.MethodHead:
+		if length := l.header.Get("Content-Length"); length != "" {
+			header.Set("Content-Length", length)
+		}
+	case l.status == http.StatusNoContent, l.status == http.StatusNotModified:
+		// These have no body, and HTTP forbids a length.
+	case o != "":
 		header.Set("Content-Length", strconv.Itoa(len(l.body)))
 	}
 	return callerGone(l.out.Start(l.status, header, o))
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -45,6 +45,8 @@
 	started   bool
 	suspect   bool
 	preempted bool
+	// generated counts the tokens of all attempts.
+	generated int
 }
 
 // verdict is the end of a request before its caller is told.
@@ -59,6 +61,14 @@
 	return r.r.AttemptID + "/" + strconv.FormatUint(uint64(r.number), 10)
 }
 
+// do runs the request to its end.
+func (r *run) do(ctx context.Context) Result {
+	if r.r.NonIdempotent {
+		return r.once(ctx)
+	}
+	return r.loop(ctx)
+}
+
 // loop runs an idempotent request to its end.
 func (r *run) loop(ctx context.Context) Result {
 	v := r.attempts(ctx)
@@ -209,6 +219,7 @@
 	}
 	begun := time.Now()
 	res := r.d.o.Kinds[r.r.Pool.Kind].Do(ctx, a, s)
+	r.generated += res.Tokens
 	outcome := res.Outcome()
 	if errors.Is(res.Err, errPreempted) {
 		outcome = peer.Outcome_OUTCOME_PREEMPTED
@@ -231,6 +242,9 @@
 	if res.Crashed {
 		r.crashed(e.ID)
 	}
+	if ctx.Err() == nil && r.unassembled(res) {
+		return nil
+	}
 	switch {
 	case res.Complete && !r.retryStatus(res.Status) && r.relay.deliverable():
 		if res.Status < http.StatusInternalServerError {
@@ -248,12 +262,6 @@
 	case res.Stale && !r.r.NonIdempotent && r.number < maxAttempts:
 		return nil
 	}
-	if errors.Is(res.Err, errOpaque) {
-		r.d.opaque.Store(r.r.Pool.Model, true)
-		r.relay.assembling = false
-		r.relay.restart()
-		return nil
-	}
 	r.d.o.Log.Debug("attempt failed", "request", r.attemptName(), "endpoint", e.ID, "error", res.Err)
 	r.avoid = append(r.avoid, e.ID)
 	r.avoidZone = r.otherZone(e.Zone)
@@ -265,6 +273,27 @@
 	return v
 }
 
+// unassembled asks for the whole answer as the caller did when it cannot be assembled: its tokens have
+// no text, or the engine rejects the request in the form of a stream.
+func (r *run) unassembled(res endpoint.Result) bool {
+	l := r.relay
+	if !l.assembling {
+		return false
+	}
+	opaque := errors.Is(res.Err, errOpaque)
+	if opaque {
+		r.d.opaque.Store(r.r.Pool.Model, true)
+	}
+	tokens, _ := l.delivered()
+	rejected := tokens == 0 && res.Complete && (res.Status == http.StatusBadRequest || res.Status == http.StatusUnprocessableEntity)
+	if !opaque && !rejected {
+		return false
+	}
+	l.assembling = false
+	l.restart()
+	return true
+}
+
 // retryStatus says whether a complete answer of an engine is a failure of the engine. Answers of
 // plain services are passed as they are.
 func (r *run) retryStatus(status int) bool {
--- a/modules/front/front.go
+++ b/modules/front/front.go
@@ -140,6 +140,8 @@
 			// The caller's next request then goes to another entry address.
 			w.Header().Set("Connection", "close")
 		}
+		// The server keeps the write deadline of a connection's earlier request.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		if strings.HasPrefix(r.URL.Path, apiPrefix) {
 			f.mux.ServeHTTP(w, r)
 			return
--- a/modules/front/front_test.go
+++ b/modules/front/front_test.go
@@ -185,6 +185,35 @@
 	}
 }
 
+// deadlineRecorder keeps the write deadline of its connection.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (d *deadlineRecorder) SetWriteDeadline(t time.Time) error {
+	d.deadline = t
+	return nil
+}
+
+// Guards against a request that fails because an earlier one on the same connection left its write
+// deadline behind, and an answer without one.
+func TestWriteDeadline(t *testing.T) {
+	s := snapshot(t, false)
+	f := front.New(front.Options{Dispatcher: &fakeDispatcher{}, Snapshot: func() *config.Snapshot { return s }})
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder(), deadline: time.Now()}
+	f.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/entry", nil))
+	if !w.deadline.IsZero() {
+		t.Errorf("entry answer with the write deadline %v of an earlier request", w.deadline)
+	}
+	req := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(chatBody))
+	req.Header.Set("X-Chivewind-Workspace", "club")
+	f.Handler().ServeHTTP(w, req)
+	if left := time.Until(w.deadline); left < time.Second || left > front.DefaultWriteStall {
+		t.Errorf("answer with %v to its write deadline", left)
+	}
+}
+
 // Guards against a planned stop that interrupts a running request.
 func TestDrain(t *testing.T) {
 	s := snapshot(t, true)
