Ignore a preemption that would lose an answer

Cause: a stream whose tokens have no text, or whose pool cannot resume, failed when the scheduler took its slot back.

Change: the decision is taken under the relay's lock: an attempt whose tokens cannot be continued goes on, and events after the decision are dropped.

Conclusion: a preemption never costs a caller its answer.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -190,6 +190,8 @@
 	keepAlive  time.Duration
 	retry      retry.Options
 	writeStall time.Duration
+	// noResume takes the capability of resumption from the engines.
+	noResume bool
 }
 
 func newPath(t testing.TB, s setup) *path {
@@ -206,6 +208,10 @@
 		c.Presets[0].Classes = []config.Class{s.class}
 	}
 	zones := []string{"asahikawa", "asahikawa", "sapporo"}
+	capabilities := []config.Capability{config.CapPriority, config.CapLoad, config.CapResume}
+	if s.noResume {
+		capabilities = capabilities[:2]
+	}
 	for i, zone := range zones {
 		e, err := enginestandin.Start(s.engine)
 		if err != nil {
@@ -215,7 +221,7 @@
 		p.engines = append(p.engines, e)
 		c.Endpoints = append(c.Endpoints, config.Endpoint{
 			ID: "engine-" + string(rune('a'+i)), Pool: "judging", URL: e.URL(), Zone: zone,
-			Capabilities: []config.Capability{config.CapResume, config.CapPriority, config.CapLoad},
+			Capabilities: capabilities,
 		})
 	}
 	for i := range 2 {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -226,6 +227,20 @@
 	return nil
 }
 
+// preempt cancels the attempt, unless what the caller has by now cannot be continued: losing the answer
+// would cost more than the slot is worth. Events after the decision are dropped. resumes says that the
+// pool has endpoints that can continue an answer.
+func (s *sink) preempt(cancel context.CancelCauseFunc, resumes bool) {
+	l := s.relay
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current != s.number || l.started && l.tokens > 0 && (l.opaque || !resumes) {
+		return
+	}
+	cancel(errPreempted)
+	l.current = 0
+}
+
 // accept sends an event to the caller or collects it.
 func (l *relay) accept(s *sink, e endpoint.Event) error {
 	if l.assembling {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -180,33 +179,17 @@
 	return r.d.o.Scheduler.Acquire(ctx, r.r.Pool.Name, a)
 }
 
-// exhausted says that no endpoint of the pool is left: each has failed, or cannot continue the answer.
-func (r *run) exhausted() bool {
-	if len(r.avoid) == 0 {
-		return false
-	}
-	tokens, _ := r.relay.delivered()
-	s := r.d.o.Snapshot()
-	for _, shard := range s.PoolShards[r.r.Pool.Name] {
-		for _, id := range shard.Endpoints {
-			if !slices.Contains(r.avoid, id) && (tokens == 0 || r.relay.assembling || s.Endpoints[id].Has(config.CapResume)) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // attempt sends the request to an endpoint once and returns the slot.
 func (r *run) attempt(ctx context.Context, e config.Endpoint, slot Slot) endpoint.Result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := r.relay.begin(r.number, slot)
 	if r.mayPreempt() {
+		resumes := r.poolResumes()
 		go func() {
 			select {
 			case <-slot.Preempted():
-				cancel(errPreempted)
+				s.preempt(cancel, resumes)
 			case <-ctx.Done():
 			}
 		}()
@@ -350,16 +333,3 @@
 	r.d.counters.resumes.Inc(1)
 	return nil
 }
-
-// otherZone returns the failed endpoint's availability zone when the pool has endpoints elsewhere.
-func (r *run) otherZone(zone string) string {
-	s := r.d.o.Snapshot()
-	for _, shard := range s.PoolShards[r.r.Pool.Name] {
-		for _, id := range shard.Endpoints {
-			if s.Endpoints[id].Zone != zone && !slices.Contains(r.avoid, id) {
-				return zone
-			}
-		}
-	}
-	return ""
-}
