--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -45,6 +44,8 @@
 	started   bool
 	suspect   bool
 	preempted bool
+	// generated counts the tokens of all attempts.
+	generated int
 }
 
 // verdict is the end of a request before its caller is told.
@@ -59,6 +60,14 @@
 	return r.r.AttemptID + "/" + strconv.FormatUint(uint64(r.number), 10)
 }
 
+// do runs the request to its end.
+func (r *run) do(ctx context.Context) Result {
+	if r.r.NonIdempotent {
+		return r.once(ctx)
+	}
+	return r.loop(ctx)
+}
+
 // loop runs an idempotent request to its end.
 func (r *run) loop(ctx context.Context) Result {
 	v := r.attempts(ctx)
@@ -170,33 +179,17 @@
 	return r.d.o.Scheduler.Acquire(ctx, r.r.Pool.Name, a)
 }
 
-// exhausted says that no endpoint of the pool is left: each has failed, or cannot continue the answer.
-func (r *run) exhausted() bool {
-	if len(r.avoid) == 0 {
-		return false
-	}
-	tokens, _ := r.relay.delivered()
-	s := r.d.o.Snapshot()
-	for _, shard := range s.PoolShards[r.r.Pool.Name] {
-		for _, id := range shard.Endpoints {
-			if !slices.Contains(r.avoid, id) && (tokens == 0 || r.relay.assembling || s.Endpoints[id].Has(config.CapResume)) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // attempt sends the request to an endpoint once and returns the slot.
 func (r *run) attempt(ctx context.Context, e config.Endpoint, slot Slot) endpoint.Result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := r.relay.begin(r.number, slot)
 	if r.mayPreempt() {
+		resumes := r.poolResumes()
 		go func() {
 			select {
 			case <-slot.Preempted():
-				cancel(errPreempted)
+				s.preempt(cancel, resumes)
 			case <-ctx.Done():
 			}
 		}()
@@ -209,6 +202,7 @@
 	}
 	begun := time.Now()
 	res := r.d.o.Kinds[r.r.Pool.Kind].Do(ctx, a, s)
+	r.generated += res.Tokens
 	outcome := res.Outcome()
 	if errors.Is(res.Err, errPreempted) {
 		outcome = peer.Outcome_OUTCOME_PREEMPTED
@@ -231,6 +225,9 @@
 	if res.Crashed {
 		r.crashed(e.ID)
 	}
+	if ctx.Err() == nil && r.unassembled(res) {
+		return nil
+	}
 	switch {
 	case res.Complete && !r.retryStatus(res.Status) && r.relay.deliverable():
 		if res.Status < http.StatusInternalServerError {
@@ -248,12 +245,6 @@
 	case res.Stale && !r.r.NonIdempotent && r.number < maxAttempts:
 		return nil
 	}
-	if errors.Is(res.Err, errOpaque) {
-		r.d.opaque.Store(r.r.Pool.Model, true)
-		r.relay.assembling = false
-		r.relay.restart()
-		return nil
-	}
 	r.d.o.Log.Debug("attempt failed", "request", r.attemptName(), "endpoint", e.ID, "error", res.Err)
 	r.avoid = append(r.avoid, e.ID)
 	r.avoidZone = r.otherZone(e.Zone)
@@ -265,6 +256,27 @@
 	return v
 }
 
+// unassembled asks for the whole answer as the caller did when it cannot be assembled: its tokens have
+// no text, or the engine rejects the request in the form of a stream.
+func (r *run) unassembled(res endpoint.Result) bool {
+	l := r.relay
+	if !l.assembling {
+		return false
+	}
+	opaque := errors.Is(res.Err, errOpaque)
+	if opaque {
+		r.d.opaque.Store(r.r.Pool.Model, true)
+	}
+	tokens, _ := l.delivered()
+	rejected := tokens == 0 && res.Complete && (res.Status == http.StatusBadRequest || res.Status == http.StatusUnprocessableEntity)
+	if !opaque && !rejected {
+		return false
+	}
+	l.assembling = false
+	l.restart()
+	return true
+}
+
 // retryStatus says whether a complete answer of an engine is a failure of the engine. Answers of
 // plain services are passed as they are.
 func (r *run) retryStatus(status int) bool {
@@ -321,16 +333,3 @@
 	r.d.counters.resumes.Inc(1)
 	return nil
 }
-
-// otherZone returns the failed endpoint's availability zone when the pool has endpoints elsewhere.
-func (r *run) otherZone(zone string) string {
-	s := r.d.o.Snapshot()
-	for _, shard := range s.PoolShards[r.r.Pool.Name] {
-		for _, id := range shard.Endpoints {
-			if s.Endpoints[id].Zone != zone && !slices.Contains(r.avoid, id) {
-				return zone
-			}
-		}
-	}
-	return ""
-}
