Add the demo command

Cause: Nothing showed the whole system at work without several processes and files.

Change: chivewind demo starts stand-ins, three daemons and callers of three classes and of bookings in one process, with a burst of notes and an engine crash.

--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,273 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/chivewind/chivewind/adminapi"
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/internal/node"
+	"github.com/chivewind/chivewind/internal/standin/engine"
+	"github.com/chivewind/chivewind/internal/standin/kv"
+	"github.com/chivewind/chivewind/internal/standin/plain"
+	"github.com/chivewind/chivewind/internal/standin/vmlist"
+	_ "github.com/chivewind/chivewind/modules/standard" // the daemons load their modules by id
+	"github.com/chivewind/chivewind/platform"
+	"github.com/chivewind/chivewind/settings"
+)
+
+// The size of the system.
+const (
+	engines = 4
+	plains  = 2
+	daemons = 3
+)
+
+// The speed of a stand-in engine: a full batch of engineSlots takes 9.6 ms a token.
+const (
+	engineSlots    = 8
+	prefill        = 20 * time.Millisecond
+	tokenTime      = 8 * time.Millisecond
+	tokenPerOther  = 200 * time.Microsecond
+	plainDelay     = 5 * time.Millisecond
+	startTime      = 15 * time.Second
+	stopTime       = 15 * time.Second
+	pollInterval   = 20 * time.Millisecond
+	entryValidity  = "1s"
+	workspaceName  = "show"
+	modelName      = "bonsai"
+	bookingsPrefix = "/bookings/"
+)
+
+var zones = []string{"sapporo", "asahikawa", "hakodate"}
+
+// fleet is the running system.
+type fleet struct {
+	engines []*engine.Engine
+	plains  []*plain.Service
+	closers []func()
+	config  *config.Config
+	// callers and admin are the base addresses of the daemons.
+	callers []string
+	admin   []string
+
+	// leave begins the graceful shutdown of the daemons, force cuts it short. ended receives one
+	// result per running daemon.
+	leave, force context.CancelFunc
+	ended        chan error
+	running      int
+}
+
+// startFleet starts the stand-ins and the daemons and applies the configuration.
+func startFleet(ctx context.Context, log hclog.Logger) (*fleet, error) {
+	f := &fleet{ended: make(chan error, daemons)}
+	err := f.startStandins(log)
+	if err == nil {
+		err = f.apply(ctx)
+	}
+	if err == nil {
+		return f, nil
+	}
+	f.force()
+	return nil, errors.Join(err, f.stopDaemons())
+}
+
+func (f *fleet) startStandins(log hclog.Logger) error {
+	leave, cancelLeave := context.WithCancel(context.Background())
+	force, cancelForce := context.WithCancel(context.Background())
+	f.leave, f.force = cancelLeave, cancelForce
+	kvServer, kvAddress, err := kv.NewServer(kv.NewStore()).Listen("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	f.closers = append(f.closers, func() { kvServer.Close() })
+	vms := vmlist.New()
+	vmServer, vmAddress, err := vms.Listen("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	f.closers = append(f.closers, func() { vmServer.Close() })
+	f.config = baseConfig()
+	if err := f.startEndpoints(vms); err != nil {
+		return err
+	}
+	var peers []string
+	for i := range daemons {
+		peer, err := f.startDaemon(i, kvAddress, vmAddress, peers, log, leave, force)
+		if err != nil {
+			return err
+		}
+		peers = append(peers, peer)
+	}
+	return nil
+}
+
+func (f *fleet) startEndpoints(vms *vmlist.Server) error {
+	for i := range engines {
+		e, err := engine.Start(engine.Options{Model: modelName, Slots: engineSlots, Prefill: prefill, TokenTime: tokenTime, TokenTimePerRequest: tokenPerOther})
+		if err != nil {
+			return err
+		}
+		f.closers = append(f.closers, e.Close)
+		f.engines = append(f.engines, e)
+		f.addEndpoint(vms, config.Endpoint{
+			ID: fmt.Sprintf("engine-%d", i+1), Pool: "engines", URL: e.URL(), Zone: zones[i%len(zones)], MaxSlots: engineSlots,
+			Capabilities: []config.Capability{config.CapPriority, config.CapResume, config.CapLoad, config.CapCacheEvents},
+		})
+	}
+	for i := range plains {
+		id := fmt.Sprintf("registry-%d", i+1)
+		s, err := plain.Start(plain.Options{Name: id, Delay: plainDelay})
+		if err != nil {
+			return err
+		}
+		f.closers = append(f.closers, s.Close)
+		f.plains = append(f.plains, s)
+		f.addEndpoint(vms, config.Endpoint{ID: id, Pool: "registry", URL: s.URL(), Zone: zones[i%len(zones)]})
+	}
+	return nil
+}
+
+func (f *fleet) addEndpoint(vms *vmlist.Server, e config.Endpoint) {
+	e.VM = "vm-" + e.ID
+	vms.Put(platform.VM{ID: e.VM, Zone: e.Zone, Role: "endpoint", State: platform.VMLive})
+	f.config.Endpoints = append(f.config.Endpoints, e)
+}
+
+// baseConfig is the configuration without endpoints.
+func baseConfig() *config.Config {
+	const ms, s = config.Duration(time.Millisecond), config.Duration(time.Second)
+	return &config.Config{
+		Preset: "ordinary",
+		Presets: []config.Preset{{Name: "ordinary", Classes: []config.Class{
+			{Name: "quick", Tier: 1, FirstToken: 500 * ms, BetweenTokens: 34 * ms},
+			{Name: "notes", Tier: 2, FirstToken: 1500 * ms, BetweenTokens: 60 * ms, Late: config.LateDemote},
+			{Name: "long", Tier: 3, Total: 30 * s, Late: config.LateServe},
+		}}},
+		Pools:      []config.Pool{{Name: "engines", Kind: config.KindEngine, Model: modelName}, {Name: "registry", Kind: config.KindPlain}},
+		Routes:     []config.Route{{Path: bookingsPrefix, Pool: "registry", Class: "quick", NonIdempotent: []string{http.MethodPost}}},
+		Workspaces: []config.Workspace{{Name: workspaceName, DefaultClass: "quick"}},
+	}
+}
+
+// startDaemon starts a daemon and returns its peer address.
+func (f *fleet) startDaemon(i int, kvAddress, vmAddress string, join []string, log hclog.Logger, leave, force context.Context) (string, error) {
+	ports, err := freePorts(3)
+	if err != nil {
+		return "", err
+	}
+	s, err := settings.Parse("demo", fmt.Appendf(nil, `
+id: daemon-%d
+zone: %s
+listen: {callers: "%s", admin: "%s", peer: "%s"}
+join: [%s]
+kv: {use: kv.etcd, with: {endpoints: ["http://%s"]}}
+vm_list: {use: vmlist.http, with: {url: "http://%s%s"}}
+limits: {entry_validity: %s}
+`, i+1, zones[i%len(zones)], ports[0], ports[1], ports[2], strings.Join(join, ", "), kvAddress, vmAddress, vmlist.PathVMs, entryValidity))
+	if err != nil {
+		return "", err
+	}
+	n, err := node.New(s, log.Named(s.ID))
+	if err != nil {
+		return "", err
+	}
+	f.callers = append(f.callers, "http://"+ports[0])
+	f.admin = append(f.admin, "http://"+ports[1])
+	f.running++
+	go func() { f.ended <- n.Run(leave, force) }()
+	return ports[2], nil
+}
+
+// freePorts returns loopback addresses that are free for TCP and UDP.
+func freePorts(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		// All listeners stay open until the end, so that no address is returned twice.
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		u, err := net.ListenPacket("udp", l.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		defer u.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+// apply puts the configuration in force on all daemons.
+func (f *fleet) apply(ctx context.Context) error {
+	var change adminapi.Change
+	first := adminapi.Client{Base: f.admin[0]}
+	err := f.eventually(ctx, func() error { return first.Send(ctx, http.MethodPut, "/admin/v1/config", f.config, 0, &change) })
+	if err != nil {
+		return fmt.Errorf("apply the configuration: %w", err)
+	}
+	for _, address := range f.admin {
+		c := adminapi.Client{Base: address}
+		err := f.eventually(ctx, func() error {
+			var got adminapi.Config
+			if err := c.Get(ctx, "/admin/v1/config", &got); err != nil {
+				return err
+			}
+			if got.Revision < change.Revision {
+				return fmt.Errorf("revision %d is in force at %s, not %d", got.Revision, address, change.Revision)
+			}
+			return nil
+		})
+		if err != nil {
+			return fmt.Errorf("wait for the configuration: %w", err)
+		}
+	}
+	return nil
+}
+
+// eventually repeats a call until it succeeds, a daemon ends, or the start takes too long.
+func (f *fleet) eventually(ctx context.Context, call func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	for {
+		err := call()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(pollInterval):
+		case ended := <-f.ended:
+			f.running--
+			return errors.Join(err, ended)
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+// stopDaemons stops the daemons gracefully, and by force when that takes too long.
+func (f *fleet) stopDaemons() error {
+	f.leave()
+	defer f.force()
+	timer := time.AfterFunc(stopTime, f.force)
+	defer timer.Stop()
+	var err error
+	for ; f.running > 0; f.running-- {
+		err = errors.Join(err, <-f.ended)
+	}
+	return err
+}
+
+func (f *fleet) closeStandins() {
+	for _, closer := range f.closers {
+		closer()
+	}
+}
