--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/chivewind/chivewind/config"
 	"github.com/chivewind/chivewind/endpoint"
+	"github.com/chivewind/chivewind/internal/telemetry"
 )
 
 const (
@@ -41,8 +42,6 @@
 	// tokens and text are what the caller has of a streamed answer.
 	tokens int
 	text   []byte
-	// firstToken is when the first token came.
-	firstToken time.Time
 	// opaque says that a token had no text, so that the partial answer cannot be continued.
 	opaque bool
 	// opened says that the caller has received an event without a token, which engines send first.
@@ -64,6 +63,8 @@
 	body   []byte
 
 	scratch []byte
+
+	timing timing
 }
 
 func newRelay(r *Request, out Response) *relay { return &relay{r: r, out: out} }
@@ -77,6 +78,7 @@
 	l.status = 0
 	l.header = nil
 	l.body = l.body[:0]
+	l.timing.begin(l.tokens)
 	return &sink{relay: l, number: number, slot: slot, sent: time.Now()}
 }
 
@@ -154,6 +156,9 @@
 	}
 	l.status = status
 	l.header = header
+	if !isEventStream(header) {
+		l.timing.first(l.r.Arrival)
+	}
 	return nil
 }
 
@@ -201,6 +206,7 @@
 	token := e.Kind&endpoint.EventToken != 0
 	switch {
 	case token && e.Index <= l.tokens:
+		l.timing.wasted[telemetry.Duplicated]++
 		return nil
 	case token && e.Index > l.tokens+1:
 		return fmt.Errorf("%w: got %d after %d", errGap, e.Index, l.tokens)
@@ -213,12 +219,10 @@
 		return err
 	}
 	if token {
-		if l.tokens == 0 {
-			l.firstToken = time.Now()
-		}
 		l.tokens = e.Index
 		l.text = append(l.text, e.Text...)
 		l.opaque = l.opaque || len(e.Text) == 0
+		l.timing.token(l.r.Arrival, l.r.Class.BetweenTokens.D())
 		s.report(l.tokens)
 	}
 	l.opened = l.opened || e.Kind == 0
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -11,6 +11,7 @@
 	"github.com/chivewind/chivewind/endpoint"
 	"github.com/chivewind/chivewind/internal/poison"
 	"github.com/chivewind/chivewind/internal/retry"
+	"github.com/chivewind/chivewind/internal/telemetry"
 	"github.com/chivewind/chivewind/peer"
 )
 
@@ -44,8 +45,11 @@
 	started   bool
 	suspect   bool
 	preempted bool
-	// generated counts the tokens of all attempts.
-	generated int
+
+	// rework says why the next attempt computes tokens again.
+	rework  telemetry.Waste
+	retries int
+	shed    bool
 }
 
 // verdict is the end of a request before its caller is told.
@@ -60,14 +64,6 @@
 	return r.r.AttemptID + "/" + strconv.FormatUint(uint64(r.number), 10)
 }
 
-// do runs the request to its end.
-func (r *run) do(ctx context.Context) Result {
-	if r.r.NonIdempotent {
-		return r.once(ctx)
-	}
-	return r.loop(ctx)
-}
-
 // loop runs an idempotent request to its end.
 func (r *run) loop(ctx context.Context) Result {
 	v := r.attempts(ctx)
@@ -150,7 +146,7 @@
 		return e, true
 	}
 	if ok && r.relay.assembling {
-		r.relay.restart()
+		r.relay.restart(r.rework)
 		return e, true
 	}
 	slot.Finish(peer.Outcome_OUTCOME_NOT_SENT, 0, 0, 0)
@@ -195,6 +191,9 @@
 		}()
 	}
 	tokens, text := r.relay.delivered()
+	if r.started {
+		r.relay.waste(r.rework, r.r.PromptTokens+tokens)
+	}
 	a := &endpoint.Attempt{
 		Request: &r.r.Request, Endpoint: e, Number: r.number, Tier: r.r.Class.Tier,
 		Assemble: r.relay.assembling, Tokens: tokens, Text: text,
@@ -202,7 +201,6 @@
 	}
 	begun := time.Now()
 	res := r.d.o.Kinds[r.r.Pool.Kind].Do(ctx, a, s)
-	r.generated += res.Tokens
 	outcome := res.Outcome()
 	if errors.Is(res.Err, errPreempted) {
 		outcome = peer.Outcome_OUTCOME_PREEMPTED
@@ -222,6 +220,7 @@
 // judge decides what follows an attempt. It returns nil when another attempt follows.
 func (r *run) judge(ctx context.Context, e config.Endpoint, res endpoint.Result) *verdict {
 	r.started = r.started || res.Started()
+	r.rework = telemetry.Retried
 	if res.Crashed {
 		r.crashed(e.ID)
 	}
@@ -241,6 +240,7 @@
 	case errors.Is(res.Err, errPreempted):
 		r.d.counters.preemptions.Inc(1)
 		r.preempted = true
+		r.rework = telemetry.Preempted
 		return r.continuable(res)
 	case res.Stale && !r.r.NonIdempotent && r.number < maxAttempts:
 		return nil
@@ -273,7 +273,7 @@
 		return false
 	}
 	l.assembling = false
-	l.restart()
+	l.restart(telemetry.Retried)
 	return true
 }
 
@@ -306,6 +306,7 @@
 		return r.giveUp(res)
 	}
 	r.d.counters.retries.Inc(1)
+	r.retries++
 	return nil
 }
 
