Add a program that measures the cost of real daemons

Cause: docs/CAPACITY.md needs slopes measured on real processes; unit benchmarks do not show the resident memory, the bytes and the key-value calls of a whole fleet.

Change: test/capacity starts daemons and stand-ins on loopback and prints the daemons' counters, processor time and memory over a window, quiet or under load. It is a command, so that go test takes no time for it.

--- /dev/null
+++ b/test/capacity/fleet.go
@@ -0,0 +1,211 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/chivewind/chivewind/adminapi"
+	"github.com/chivewind/chivewind/config"
+)
+
+// process is one process that this program started.
+type process struct {
+	cmd *exec.Cmd
+	log string
+}
+
+// daemon is one chivewind process.
+type daemon struct {
+	process
+	id, callers, admin, peer string
+}
+
+// fleet has all processes of a measurement.
+type fleet struct {
+	o        options
+	dir      string
+	kv       string
+	standins process
+	daemons  []*daemon
+}
+
+// Ports above the first one: the platform's stand-ins, then the endpoints, then the daemons.
+const (
+	vmListOffset   = 1
+	endpointOffset = 10
+	daemonOffset   = 1000
+	portsPerDaemon = 3
+	joinAddresses  = 3
+	startTime      = 60 * time.Second
+	pollInterval   = 50 * time.Millisecond
+	modelOfTest    = "bonsai"
+	bookingPath    = "/bookings/"
+)
+
+var zones = []string{"zone-1", "zone-2", "zone-3", "zone-4", "zone-5", "zone-6", "zone-7"}
+
+func newFleet(o options) (*fleet, error) {
+	dir, err := os.MkdirTemp("", "chivewind-capacity")
+	if err != nil {
+		return nil, err
+	}
+	return &fleet{o: o, dir: dir, kv: f4(o.port)}, nil
+}
+
+func f4(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// close ends the processes by id and removes their files.
+func (f *fleet) close() {
+	for _, d := range f.daemons {
+		d.kill()
+	}
+	f.standins.kill()
+	os.RemoveAll(f.dir)
+}
+
+func (p *process) kill() {
+	if p.cmd != nil {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+		p.cmd = nil
+	}
+}
+
+func (f *fleet) spawn(name, maxProcs string, args ...string) (process, error) {
+	p := process{log: filepath.Join(f.dir, name+".log")}
+	out, err := os.Create(p.log)
+	if err != nil {
+		return p, err
+	}
+	defer out.Close()
+	cmd := exec.Command(f.o.binary, args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), "GOMAXPROCS="+maxProcs)
+	if err := cmd.Start(); err != nil {
+		return p, err
+	}
+	p.cmd = cmd
+	return p, nil
+}
+
+// start starts the stand-ins and the daemons, and puts the configuration in force.
+func (f *fleet) start(ctx context.Context) (err error) {
+	c := f.config()
+	file := filepath.Join(f.dir, "config.yaml")
+	if err := writeYAML(file, c); err != nil {
+		return err
+	}
+	f.standins, err = f.spawn("standins", "2", "standin", "all", "-c", file, "--kv", f.kv,
+		"--vm-list", f4(f.o.port+vmListOffset), "--token-time", f.o.tokenTime.String())
+	if err != nil {
+		return err
+	}
+	if err := await(ctx, "http://"+f.kv+"/admin/counters"); err != nil {
+		return err
+	}
+	for i := range f.o.daemons {
+		if err := f.startDaemon(i); err != nil {
+			return err
+		}
+	}
+	for _, d := range f.daemons {
+		if err := await(ctx, "http://"+d.admin+"/metrics"); err != nil {
+			return err
+		}
+	}
+	return f.apply(ctx, c)
+}
+
+func (f *fleet) apply(ctx context.Context, c *config.Config) error {
+	client := adminapi.Client{Base: "http://" + f.daemons[0].admin}
+	var change adminapi.Change
+	if err := client.Send(ctx, http.MethodPut, "/admin/v1/config", c, 0, &change); err != nil {
+		return err
+	}
+	_, err := f.awaitRevision(ctx, change.Revision, time.Now())
+	return err
+}
+
+// startDaemon writes the settings of a daemon and starts it.
+func (f *fleet) startDaemon(i int) error {
+	base := f.o.port + daemonOffset + i*portsPerDaemon
+	d := &daemon{id: "d" + strconv.Itoa(i+1), callers: f4(base), admin: f4(base + 1), peer: f4(base + 2)}
+	var join []string
+	for _, other := range f.daemons[:min(i, joinAddresses)] {
+		join = append(join, other.peer)
+	}
+	file := filepath.Join(f.dir, d.id+".yaml")
+	err := writeYAML(file, map[string]any{
+		"id": d.id, "zone": zones[i%len(zones)], "region": "region-1", "join": join,
+		"listen":  map[string]string{"callers": d.callers, "admin": d.admin, "peer": d.peer},
+		"kv":      map[string]any{"use": "kv.etcd", "with": map[string]any{"endpoints": []string{"http://" + f.kv}}},
+		"vm_list": map[string]any{"use": "vmlist.http", "with": map[string]string{"url": "http://" + f4(f.o.port+vmListOffset) + "/vms"}},
+	})
+	if err != nil {
+		return err
+	}
+	if d.process, err = f.spawn(d.id, "1", "serve", "-c", file); err != nil {
+		return err
+	}
+	f.daemons = append(f.daemons, d)
+	return nil
+}
+
+// config has one pool of engines and one plain service for non-idempotent requests.
+func (f *fleet) config() *config.Config {
+	quick := config.Class{Name: "quick", Tier: 1, FirstToken: config.Duration(1200 * time.Millisecond), BetweenTokens: config.Duration(34 * time.Millisecond)}
+	middle := config.Class{Name: "middle", Tier: 2, FirstToken: config.Duration(3 * time.Second), Late: config.LateDemote}
+	long := config.Class{Name: "long", Tier: 3, Total: config.Duration(10 * time.Minute), Late: config.LateServe}
+	classes := []config.Class{quick, middle, long}
+	c := &config.Config{
+		Preset:  "ordinary",
+		Presets: []config.Preset{{Name: "ordinary", Classes: classes}, {Name: "peak", Classes: classes}},
+		Pools:   []config.Pool{{Name: "models", Kind: config.KindEngine, Model: modelOfTest, ShardSize: f.o.shardSize}, {Name: "registry", Kind: config.KindPlain}},
+		Routes:  []config.Route{{Path: bookingPath, Pool: "registry", Class: "quick", NonIdempotent: []string{"POST"}}},
+	}
+	for i := range f.o.workspaces {
+		c.Workspaces = append(c.Workspaces, config.Workspace{Name: fmt.Sprintf("workspace-%04d", i), DefaultClass: "quick", Weight: 1})
+	}
+	for i := range f.o.engines {
+		c.Endpoints = append(c.Endpoints, config.Endpoint{ID: fmt.Sprintf("engine-%03d", i), Pool: "models", Zone: zones[i%len(zones)],
+			URL: "http://" + f4(f.o.port+endpointOffset+i), MaxSlots: 64,
+			Capabilities: []config.Capability{config.CapPriority, config.CapResume, config.CapLoad, config.CapCacheEvents}})
+	}
+	c.Endpoints = append(c.Endpoints, config.Endpoint{ID: "plain-1", Pool: "registry", Zone: zones[0], MaxSlots: 64,
+		URL: "http://" + f4(f.o.port+endpointOffset+f.o.engines)})
+	return c
+}
+
+func writeYAML(file string, v any) error {
+	raw, err := yaml.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, raw, 0o600)
+}
+
+// await polls a URL until it answers.
+func await(ctx context.Context, url string) error {
+	deadline := time.Now().Add(startTime)
+	for {
+		resp, err := http.Get(url)
+		if err == nil {
+			resp.Body.Close()
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s does not answer: %w", url, err)
+		}
+		if err := pause(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/test/capacity/sample.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// sample is the state of one daemon at one time.
+type sample struct {
+	counters map[string]float64
+	// cpu is the processor time; resident and anonymous are bytes.
+	cpu                 time.Duration
+	resident, anonymous float64
+}
+
+// ticksPerSecond is the unit of processor time in /proc, which Linux fixes at 100.
+const ticksPerSecond = 100
+
+// take reads processor time and memory before the counters, whose reading costs processor time.
+func (d *daemon) take() (sample, error) {
+	s, err := ofProcess(d.cmd.Process.Pid)
+	if err != nil {
+		return s, err
+	}
+	s.counters, err = counters("http://" + d.admin + "/metrics")
+	return s, err
+}
+
+func ofProcess(pid int) (sample, error) {
+	var s sample
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return s, err
+	}
+	// The fields after the command's name, which ends with the last parenthesis; utime and stime
+	// are the 12th and 13th of these.
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	for _, field := range fields[11:13] {
+		ticks, err := strconv.Atoi(field)
+		if err != nil {
+			return s, err
+		}
+		s.cpu += time.Duration(ticks) * time.Second / ticksPerSecond
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return s, err
+	}
+	s.resident = kilobytes(status, "VmRSS:")
+	s.anonymous = kilobytes(status, "RssAnon:")
+	return s, nil
+}
+
+func kilobytes(status []byte, name string) float64 {
+	for line := range strings.Lines(string(status)) {
+		if rest, ok := strings.CutPrefix(line, name); ok {
+			n, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return n * 1024
+		}
+	}
+	return 0
+}
+
+// counters reads the metrics without labels.
+func counters(url string) (map[string]float64, error) {
+	resp, err := http.Get(url)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	out := map[string]float64{}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, value, ok := strings.Cut(lines.Text(), " ")
+		if !ok || name == "#" || strings.Contains(name, "{") {
+			continue
+		}
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			out[name] = v
+		}
+	}
+	return out, lines.Err()
+}
+
+// kvCounters reads the calls that the key-value stand-in has counted, by kind.
+func (f *fleet) kvCounters() (map[string]float64, error) {
+	resp, err := http.Get("http://" + f.kv + "/admin/counters")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	out := map[string]float64{}
+	return out, json.NewDecoder(resp.Body).Decode(&out)
+}
+
+func (f *fleet) takeAll() ([]sample, error) {
+	var all []sample
+	for _, d := range f.daemons {
+		s, err := d.take()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
+
+// window measures over a time and prints the result.
+func (f *fleet) window(ctx context.Context, o options, l *load) error {
+	kvBefore, err := f.kvCounters()
+	if err != nil {
+		return err
+	}
+	before, err := f.takeAll()
+	if err != nil {
+		return err
+	}
+	began, done := time.Now(), l.completed()
+	if err := pause(ctx, o.window); err != nil {
+		return err
+	}
+	after, err := f.takeAll()
+	if err != nil {
+		return err
+	}
+	kvAfter, err := f.kvCounters()
+	if err != nil {
+		return err
+	}
+	seconds := time.Since(began).Seconds()
+	fmt.Printf("daemons %d, engines %d, workspaces %d, load %+v, window %.1f s\n", o.daemons, o.engines, o.workspaces, o.load, seconds)
+	report(before, after, seconds)
+	for _, kind := range slices.Sorted(maps.Keys(kvAfter)) {
+		fmt.Printf("key-value calls, fleet: %-12s %8.2f /s\n", kind, (kvAfter[kind]-kvBefore[kind])/seconds)
+	}
+	finished := l.completed()
+	for _, kind := range slices.Sorted(maps.Keys(finished)) {
+		fmt.Printf("callers: %-24s %8.2f /s\n", kind, float64(finished[kind]-done[kind])/seconds)
+	}
+	return nil
+}
+
+// report prints mean, median and maximum over the daemons.
+func report(before, after []sample, seconds float64) {
+	row := func(name, unit string, value func(i int) float64) {
+		values := make([]float64, len(after))
+		sum := 0.0
+		for i := range after {
+			values[i] = value(i)
+			sum += values[i]
+		}
+		if sum == 0 {
+			return
+		}
+		slices.Sort(values)
+		fmt.Printf("%-48s mean %10.3f median %10.3f max %10.3f %s\n", name, sum/float64(len(values)), values[len(values)/2], values[len(values)-1], unit)
+	}
+	const megabyte = 1e6
+	row("processor time", "% of a core", func(i int) float64 { return 100 * (after[i].cpu - before[i].cpu).Seconds() / seconds })
+	row("resident memory", "MB", func(i int) float64 { return after[i].resident / megabyte })
+	row("anonymous memory", "MB", func(i int) float64 { return after[i].anonymous / megabyte })
+	row("heap", "MB", func(i int) float64 { return after[i].counters["chivewind_process_heap_bytes"] / megabyte })
+	row("goroutines", "", func(i int) float64 { return after[i].counters["chivewind_process_goroutines"] })
+	names := map[string]bool{}
+	for _, s := range after {
+		for name := range s.counters {
+			names[name] = names[name] || strings.HasSuffix(name, "_total")
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		if names[name] {
+			row(strings.TrimPrefix(name, "chivewind_"), "/s", func(i int) float64 {
+				return (after[i].counters[name] - before[i].counters[name]) / seconds
+			})
+		}
+	}
+}
