Hold unused slots against no endpoint

Cause: the policy counts "not sent" as a failure of the endpoint, but the dispatcher also reported it for slots that it gave back unused: late grants, an intent that could not be recorded, an endpoint that cannot continue.

Change: unused slots and attempts canceled before the first byte are reported as canceled. A 503 with Retry-After and an engine's 429 are reported as refused.

The packages' tests passed with the race detector.

Conclusion: an outage of the key-value service no longer ejects endpoints.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -130,15 +130,18 @@
 // Started says that the endpoint may have run the request.
 func (r Result) Started() bool { return r.Sent && !r.NotRun }
 
-// Outcome returns the outcome as schedulers know it.
+// Outcome returns the outcome as schedulers know it. They hold all but completed, refused and canceled
+// attempts against the endpoint. An endpoint that drains has refused the request, even though its
+// caller is told "not run" only when the endpoint states it.
 func (r Result) Outcome() peer.Outcome {
+	refused := r.Status == http.StatusServiceUnavailable && r.RetryAfter > 0
 	switch {
+	case r.Canceled, r.Stale:
+		return peer.Outcome_OUTCOME_CANCELED
 	case !r.Sent:
 		return peer.Outcome_OUTCOME_NOT_SENT
-	case r.NotRun:
+	case r.NotRun, r.Complete && refused:
 		return peer.Outcome_OUTCOME_REFUSED
-	case r.Canceled, r.Stale:
-		return peer.Outcome_OUTCOME_CANCELED
 	case r.Crashed:
 		return peer.Outcome_OUTCOME_CRASHED
 	case r.Complete && r.Status < http.StatusInternalServerError:
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -117,12 +117,12 @@
 		if r.prepare != nil {
 			var v *verdict
 			if sendCtx, v = r.prepare(ctx); v != nil {
-				slot.Finish(peer.Outcome_OUTCOME_NOT_SENT, 0, 0, 0)
+				giveBack(slot)
 				return *v
 			}
 		}
 		if late(time.Now(), slot.StartBy()) {
-			slot.Finish(peer.Outcome_OUTCOME_NOT_SENT, 0, 0, 0)
+			giveBack(slot)
 			if r.lateGrants++; r.lateGrants > maxLateGrants {
 				return verdict{err: overloaded("no endpoint could be reached in time", time.Second)}
 			}
@@ -135,6 +135,9 @@
 	}
 }
 
+// giveBack returns a slot that was not used. That nothing was sent says nothing about the endpoint.
+func giveBack(slot Slot) { slot.Finish(peer.Outcome_OUTCOME_CANCELED, 0, 0, 0) }
+
 // late says that the time to start an attempt has passed. The wall clock is checked too, because the
 // monotonic one may stand still while the VM is suspended.
 func late(now, startBy time.Time) bool {
@@ -153,7 +156,7 @@
 		r.relay.restart()
 		return e, true
 	}
-	slot.Finish(peer.Outcome_OUTCOME_NOT_SENT, 0, 0, 0)
+	giveBack(slot)
 	r.avoid = append(r.avoid, slot.Endpoint())
 	return e, false
 }
@@ -204,11 +207,13 @@
 	res := r.d.o.Kinds[r.r.Pool.Kind].Do(ctx, a, s)
 	r.generated += res.Tokens
 	outcome := res.Outcome()
-	if errors.Is(res.Err, errPreempted) {
+	switch {
+	case errors.Is(res.Err, errPreempted):
 		outcome = peer.Outcome_OUTCOME_PREEMPTED
-	}
-	if errors.Is(res.Err, errGap) {
+	case errors.Is(res.Err, errGap):
 		outcome = peer.Outcome_OUTCOME_FAILED
+	case res.Complete && res.Status == http.StatusTooManyRequests && r.retryStatus(res.Status):
+		outcome = peer.Outcome_OUTCOME_REFUSED
 	}
 	tokens, _ = r.relay.delivered()
 	slot.Finish(outcome, tokens, res.FirstTokenAfter, time.Since(begun))
--- a/modules/endpoint/plain/plain_test.go
+++ b/modules/endpoint/plain/plain_test.go
@@ -63,6 +63,7 @@
 		{desc: "answer", want: endpoint.Result{Sent: true, Complete: true, Status: 200}, outcome: peer.Outcome_OUTCOME_COMPLETED, runs: 1},
 		{desc: "error of the service", faults: standin.Faults{Status: 500}, want: endpoint.Result{Sent: true, Complete: true, Status: 500}, outcome: peer.Outcome_OUTCOME_FAILED, runs: 1},
 		{desc: "refusal of the service", faults: standin.Faults{Status: 404}, want: endpoint.Result{Sent: true, Complete: true, Status: 404}, outcome: peer.Outcome_OUTCOME_COMPLETED, runs: 1},
+		{desc: "quota of the service", faults: standin.Faults{Status: 429}, want: endpoint.Result{Sent: true, Complete: true, Status: 429}, outcome: peer.Outcome_OUTCOME_COMPLETED, runs: 1},
 		{desc: "connection refused", down: true, want: endpoint.Result{}, outcome: peer.Outcome_OUTCOME_NOT_SENT},
 		{desc: "503 not run", faults: standin.Faults{Refuse: true}, want: endpoint.Result{Sent: true, NotRun: true, Status: 503, RetryAfter: time.Second}, outcome: peer.Outcome_OUTCOME_REFUSED},
 		{desc: "crash before the run", faults: standin.Faults{CutBeforeRun: true}, want: endpoint.Result{Sent: true, Crashed: true}, outcome: peer.Outcome_OUTCOME_CRASHED},
