Reserve blocks of ports for each test process

Cause: two test processes at the same time used the same ports, so callers met daemons of another test. Change: a test process holds the first port of each block that it uses.

--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -115,16 +115,20 @@
 }
 
 // Ports of the processes lie below the range from which the system takes the ports of outgoing
-// connections, so that no connection of another test takes a port before its process binds it.
+// connections, so that no connection of another test takes a port before its process binds it. They
+// are taken in blocks: a test process holds the first port of each of its blocks, so that test
+// processes that run at the same time never use the same ports.
 const (
 	firstPort = 12000
 	lastPort  = 30000
+	portBlock = 250
 )
 
 // ports hands out loopback ports, each once.
 var ports struct {
 	sync.Mutex
-	next int
+	block []net.Listener
+	next  int
 }
 
 // freePort returns a port that is free for TCP and UDP.
@@ -132,21 +136,29 @@
 	t.Helper()
 	ports.Lock()
 	defer ports.Unlock()
-	if ports.next == 0 {
-		// Two test processes at the same time begin at different ports.
-		ports.next = firstPort + os.Getpid()*37%(lastPort-firstPort)
-	}
-	for range lastPort - firstPort {
-		port := ports.next
-		if ports.next++; ports.next == lastPort {
-			ports.next = firstPort
+	for {
+		if ports.next%portBlock == 0 && !takeBlock() {
+			t.Fatal("no free block of ports")
 		}
+		port := ports.next
+		ports.next++
 		if isFree(port) {
 			return port
 		}
 	}
-	t.Fatal("no free port")
-	return 0
+}
+
+// takeBlock reserves the next block of ports that no other test process holds.
+func takeBlock() bool {
+	for base := firstPort; base < lastPort; base += portBlock {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base))
+		if err == nil {
+			ports.block = append(ports.block, l)
+			ports.next = base + 1
+			return true
+		}
+	}
+	return false
 }
 
 func isFree(port int) bool {
