--- a/internal/configstore/model_test.go
+++ b/internal/configstore/model_test.go
@@ -84,13 +84,11 @@
 
 func inject(running *sync.WaitGroup, daemons []*daemon, e event) {
 	d := daemons[e.daemon]
+	if fault, ok := kv.WriteFault(e.kind, e.length); ok {
+		d.kv.FailWrite(e.nth, fault)
+		return
+	}
 	switch e.kind {
-	case "lose reply":
-		d.kv.FailWrite(e.nth, kv.Fault{Drop: true})
-	case "lose request":
-		d.kv.FailWrite(e.nth, kv.Fault{Skip: true})
-	case "late write":
-		d.kv.FailWrite(e.nth, kv.Fault{Before: e.length})
 	case "slow", "outage":
 		set := func(on bool) {
 			if e.kind == "outage" {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -126,6 +126,23 @@
 	})
 }
 
+// TestRenewalMargin guards against a renewal that counts from its reply: the service has counted
+// from an earlier time.
+func TestRenewalMargin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDaemon(t, kv.NewStore(), "a")
+		h := d.acquire(t, time.Second)
+		d.kv.SetReplyDelay(1500 * time.Millisecond)
+		for range 40 {
+			time.Sleep(testTTL / 20)
+			end := d.kv.Store().Expiry(h.lease)
+			if h.Deadline().After(end.Add(-testTTL / driftMargin)) {
+				t.Fatalf("valid for %s, but the service ends the lease after %s", time.Until(h.Deadline()), time.Until(end))
+			}
+		}
+	})
+}
+
 // TestPause guards against two daemons that both consider a role valid, and against writes of the
 // earlier one, when a daemon is paused at any of its calls.
 func TestPause(t *testing.T) {
--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -160,15 +160,11 @@
 			undo()
 		})
 	}
+	if fault, ok := kv.WriteFault(e.kind, e.length); ok {
+		d.kv.FailWrite(e.nth, fault)
+		return
+	}
 	switch e.kind {
-	case "lose reply":
-		d.kv.FailWrite(e.nth, kv.Fault{Drop: true})
-	case "lose request":
-		d.kv.FailWrite(e.nth, kv.Fault{Skip: true})
-	case "late write":
-		d.kv.FailWrite(e.nth, kv.Fault{Before: e.length})
-	case "late reply":
-		d.kv.FailWrite(e.nth, kv.Fault{After: e.length})
 	case "pause":
 		// The daemon's calls of the service stand still, and a call may return long after it began.
 		d.kv.SetDelay(e.length)
--- a/internal/standin/kv/faults.go
+++ b/internal/standin/kv/faults.go
@@ -25,6 +25,22 @@
 	Skip bool `json:"skip,omitempty"`
 }
 
+// WriteFault returns the fault with a name, for scenarios that draw faults at random: "lose reply",
+// "lose request", "late write" or "late reply". length is the time by which a call is late.
+func WriteFault(name string, length time.Duration) (fault Fault, ok bool) {
+	switch name {
+	case "lose reply":
+		return Fault{Drop: true}, true
+	case "lose request":
+		return Fault{Skip: true}, true
+	case "late write":
+		return Fault{Before: length}, true
+	case "late reply":
+		return Fault{After: length}, true
+	}
+	return Fault{}, false
+}
+
 // Counters are calls by kind, as the service bills them; an open watch is one call.
 type Counters struct {
 	Ranges     int `json:"ranges"`
@@ -40,6 +56,7 @@
 	mu          sync.Mutex
 	down        bool
 	delay       time.Duration
+	replyDelay  time.Duration
 	hang        bool
 	silentWatch bool
 	writes      map[int]Fault
@@ -52,6 +69,9 @@
 // SetDelay delays each call by a time before it takes effect.
 func (f *Faults) SetDelay(d time.Duration) { f.set(func() { f.delay = d }) }
 
+// SetReplyDelay delays the reply of each call that took effect.
+func (f *Faults) SetReplyDelay(d time.Duration) { f.set(func() { f.replyDelay = d }) }
+
 // SetHang makes calls neither take effect nor return until the caller gives up.
 func (f *Faults) SetHang(hang bool) { f.set(func() { f.hang = hang }) }
 
@@ -72,7 +92,7 @@
 // Reset switches all faults off.
 func (f *Faults) Reset() {
 	f.set(func() {
-		f.down, f.delay, f.hang, f.silentWatch, f.writes = false, 0, false, false, nil
+		f.down, f.delay, f.replyDelay, f.hang, f.silentWatch, f.writes = false, 0, 0, false, false, nil
 	})
 }
 
@@ -121,6 +141,7 @@
 		f.writes = next
 	}
 	fault.Before += f.delay
+	fault.After += f.replyDelay
 	return fault, f.hang, nil
 }
 
--- a/internal/standin/kv/store.go
+++ b/internal/standin/kv/store.go
@@ -259,6 +259,16 @@
 	return l.ttl, nil
 }
 
+// Expiry returns the time at which a lease ends without a renewal; it is zero for a lease that is gone.
+func (s *Store) Expiry(id platform.LeaseID) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.leases[id]; l != nil {
+		return l.expires
+	}
+	return time.Time{}
+}
+
 // Revoke ends a lease and removes its keys.
 func (s *Store) Revoke(id platform.LeaseID) error {
 	s.mu.Lock()
