Give local callers of the ledger their own reply

Cause: a daemon that owns the partition handed out records of its memory, so a caller that changed a reply would have changed what duplicates are told.

Change: Do copies the reply of a local call.

Conclusion: local and remote callers get replies that are theirs.

--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -92,7 +92,10 @@
 	start := time.Now()
 	var err error
 	if owners[0].Id == l.Members.Self().Id {
-		reply, err = l.Serve(ctx, req)
+		// The owner's records are shared and must not change; a caller may change its reply.
+		if reply, err = l.Serve(ctx, req); err == nil {
+			reply = proto.CloneOf(reply)
+		}
 	} else {
 		client, dialErr := l.Peers.Client(ctx, owners[0])
 		if dialErr != nil {
--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -44,7 +44,7 @@
 	}
 })
 
-// model follows what the callers of the ledger were results.
+// model follows the results that the callers of the ledger got.
 type model struct {
 	mu sync.Mutex
 	// begun counts, by key, the requests that may send: begun and not given up by their holder.
@@ -53,7 +53,7 @@
 	finished map[string]string
 	// settling counts, by key, the operators' calls under way; one may have freed the key already.
 	settling map[string]int
-	// results counts the results, so that a test that exercises nothing is noticed.
+	// results counts them, so that a test that exercises nothing is noticed.
 	results    map[peer.LedgerReply_Result]int
 	violations []string
 }
