--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -118,7 +118,6 @@
 	CodeKeyReused      = "idempotency_key_reused"
 	CodeUnknown        = "outcome_unknown"
 	CodeAnswerNotKept  = "answer_not_kept"
-	CodeInternal       = "internal_error"
 )
 
 // statusCallerGone is the usual status in logs for a caller that closed its connection.
--- a/modules/front/auth.go
+++ b/modules/front/auth.go
@@ -23,6 +23,7 @@
 	codeModelNotFound   = "model_not_found"
 	codeNotFound        = "not_found"
 	codeTooLarge        = "request_too_large"
+	codeNoEntry         = "no_entry"
 )
 
 func refusal(status int, code, format string, args ...any) *dispatch.Error {
--- a/modules/front/entry.go
+++ b/modules/front/entry.go
@@ -41,7 +41,7 @@
 func (f *Front) serveEntry(w http.ResponseWriter, _ *http.Request) {
 	answer := EntryAnswer{ValidForMS: f.o.Limits.EntryValidity.D().Milliseconds(), Addresses: f.addresses()}
 	if len(answer.Addresses) == 0 {
-		e := refusal(http.StatusServiceUnavailable, "no_entry", "this daemon has no current view of the entry addresses")
+		e := refusal(http.StatusServiceUnavailable, codeNoEntry, "this daemon has no current view of the entry addresses")
 		e.RetryAfter = time.Second
 		writeError(w, e, dispatch.NotRun)
 		return
--- a/modules/front/front.go
+++ b/modules/front/front.go
@@ -1,6 +1,3 @@
-// Package front is the callers' HTTP API: entry addresses, the OpenAI-compatible API and plain
-// services. It authenticates a request, resolves its workspace, class and pool, and hands it to a
-// dispatch.Dispatcher.
 package front
 
 import (
