Tell suspects of plain services apart by their target

Cause: a request's fingerprint had its workspace and body only, so that all calls without a body of one workspace were one suspect: two crashes would have stopped them for ten minutes.

Change: the fingerprint includes method, path and query.

Conclusion: a crash concerns only the requests that were there.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -23,12 +23,15 @@
 // Fingerprint identifies a request's content across daemons and retries.
 type Fingerprint uint64
 
-// Of returns the fingerprint of a workspace's request.
-func Of(workspace string, body []byte) Fingerprint {
+// Of returns the fingerprint of a workspace's request. The target is the method with path and query:
+// many requests have no body, and those to other targets are other requests.
+func Of(workspace, target string, body []byte) Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
-	_, _ = d.WriteString(workspace)
-	_, _ = d.Write([]byte{0})
+	for _, s := range []string{workspace, target} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
 	_, _ = d.Write(body)
 	return Fingerprint(d.Sum64())
 }
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -36,7 +36,7 @@
 	for _, c := range cases {
 		t.Run(c.desc, func(t *testing.T) {
 			table := New(0)
-			f := Of("registry", []byte("body"))
+			f := Of("registry", "POST /v1/completions", []byte("body"))
 			for _, a := range c.adds {
 				table.Add(start.Add(a.at), f, a.endpoint, a.id)
 			}
@@ -65,9 +65,17 @@
 	}
 }
 
-// Guards against equal fingerprints of different workspaces' requests.
+// Guards against requests that are stopped because of another one: of another workspace, or to another
+// target with an equal or empty body.
 func TestFingerprint(t *testing.T) {
-	if Of("a", []byte("bc")) == Of("ab", []byte("c")) {
-		t.Error("workspace and body run together")
+	seen := map[Fingerprint]bool{}
+	for _, f := range []Fingerprint{
+		Of("a", "GET /x", nil), Of("a", "GET /y", nil), Of("b", "GET /x", nil), Of("a", "GET /x", []byte("b")),
+		Of("aG", "ET /x", nil), Of("a", "GET /xb", nil),
+	} {
+		if seen[f] {
+			t.Errorf("fingerprint %x twice", f)
+		}
+		seen[f] = true
 	}
 }
