Do not repeat plain calls with methods that are not idempotent

Cause: a POST or PATCH without an Idempotency-Key, on a route that demands none, was repeated after a crash and could run twice.

Change: such calls use a fresh connection, and are neither repeated once they may have started nor preempted; their outcome is then failed.

Conclusion: only idempotent methods, and requests to engines, run again.

--- a/endpoint/header.go
+++ b/endpoint/header.go
@@ -16,6 +16,11 @@
 	"Content-Length": true, "Expect": true, "Host": true,
 }
 
+// Repeatable says whether a call with the method may run twice, as HTTP defines it.
+func Repeatable(method string) bool {
+	return method != http.MethodPost && method != http.MethodPatch && method != http.MethodConnect
+}
+
 // CopyHeader copies the headers that are passed on from one side to the other.
 func CopyHeader(dst, src http.Header) {
 	var named map[string]bool
--- a/internal/dispatch/cancel_test.go
+++ b/internal/dispatch/cancel_test.go
@@ -126,6 +126,25 @@
 	}
 }
 
+// Guards against a second run of a call with a method that is not idempotent, on a route that does not
+// demand a key, and against a lost call with an idempotent method.
+func TestUnmarkedMethods(t *testing.T) {
+	for method, want := range map[string]string{http.MethodPatch: "failed", http.MethodPut: "completed"} {
+		p := newPath(t, setup{})
+		p.services[0].SetFaults(plainstandin.Faults{CutAfterRun: true})
+		req, err := http.NewRequest(method, p.url+"/services/bookings/7", strings.NewReader("two beds"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X-Request-Id", "call-1")
+		r, body := do(t, req)
+		runs := p.services[0].RunsByID("call-1") + p.services[1].RunsByID("call-1")
+		if outcome(r) != want || (method == http.MethodPatch && runs != 1) {
+			t.Errorf("%s: outcome %q, %d runs, body %s", method, outcome(r), runs, body)
+		}
+	}
+}
+
 // Guards against a waiting stream that looks dead to its caller, and an error after the header that
 // would look like a whole answer.
 func TestKeepAlive(t *testing.T) {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -9,6 +9,12 @@
 	"github.com/chivewind/chivewind/endpoint"
 )
 
+// repeatable says whether the request may run twice. A plain call with a method that HTTP does not
+// define as idempotent may not, also without an Idempotency-Key.
+func (r *Request) repeatable() bool {
+	return !r.NonIdempotent && (r.Pool.Kind == config.KindEngine || endpoint.Repeatable(r.Method))
+}
+
 // Outcome is what a caller is told about its request.
 type Outcome string
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -221,8 +221,8 @@
 }
 
 // mayPreempt says whether a canceled attempt can be made up for. What the caller has of a streamed
-// answer must be continuable, and a non-idempotent request must not be repeated.
-func (r *run) mayPreempt() bool { return !r.r.NonIdempotent && (r.r.Continuable || !r.r.Stream) }
+// answer must be continuable, and the request must be one that may be repeated.
+func (r *run) mayPreempt() bool { return r.r.repeatable() && (r.r.Continuable || !r.r.Stream) }
 
 // judge decides what follows an attempt. It returns nil when another attempt follows.
 func (r *run) judge(ctx context.Context, e config.Endpoint, res endpoint.Result) *verdict {
@@ -247,7 +247,7 @@
 		r.d.counters.preemptions.Inc(1)
 		r.preempted = true
 		return r.continuable(res)
-	case res.Stale && !r.r.NonIdempotent && r.number < maxAttempts:
+	case res.Stale && r.r.repeatable() && r.number < maxAttempts:
 		return nil
 	}
 	r.d.o.Log.Debug("attempt failed", "request", r.attemptName(), "endpoint", e.ID, "error", res.Err)
@@ -298,7 +298,7 @@
 	case r.d.suspects.crashes(r.fingerprint) >= poison.Limit:
 		r.d.counters.stopped.Inc(1)
 		return &verdict{err: repeatedCrash()}
-	case !retry.Safe(retry.Failure{NonIdempotent: r.r.NonIdempotent, Started: res.Started()}):
+	case !retry.Safe(retry.Failure{NonIdempotent: !r.r.repeatable(), Started: res.Started()}):
 		return r.giveUp(res)
 	case r.number >= maxAttempts, r.exhausted(), !retry.Useful(now, r.r.Deadline, res.FirstTokenAfter):
 		return r.giveUp(res)
--- a/modules/endpoint/plain/plain.go
+++ b/modules/endpoint/plain/plain.go
@@ -39,8 +39,8 @@
 	return nil
 }
 
-// Do implements endpoint.Kind. A repeated or non-idempotent request uses a fresh connection, since a
-// pooled one can be silent or already closed by the service.
+// Do implements endpoint.Kind. An attempt that may not be repeated, or is a repetition, uses a fresh
+// connection, since a pooled one can be silent or already closed by the service.
 func (k *Kind) Do(ctx context.Context, a *endpoint.Attempt, s endpoint.Sink) endpoint.Result {
 	target := a.Endpoint.URL + a.Request.Path
 	if a.Request.RawQuery != "" {
@@ -61,7 +61,7 @@
 	}
 	req.Header.Set(endpoint.HeaderRequestID, a.Request.ID)
 	req.Header.Set(endpoint.HeaderWorkspace, a.Request.Workspace)
-	t, r := endpoint.Begin(ctx, k.client, req, a, a.Request.NonIdempotent || a.Number > 1)
+	t, r := endpoint.Begin(ctx, k.client, req, a, a.Request.NonIdempotent || a.Number > 1 || !endpoint.Repeatable(a.Request.Method))
 	if t == nil {
 		return r
 	}
