Name the target of a request in one place

Cause: the fingerprint of suspects and the digest of the ledger spelled out method, path and query.

Change: Request.target joins them for both.

Conclusion: both agree on what a request is addressed to.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -108,7 +108,7 @@
 	d.running.Add(1)
 	defer d.running.Add(-1)
 	d.counters.requests.Inc(1)
-	fingerprint := poison.Of(r.Workspace, r.Method+" "+r.Path+"?"+r.RawQuery, r.Body)
+	fingerprint := poison.Of(r.Workspace, r.target(), r.Body)
 	if d.suspects.crashes(fingerprint) >= poison.Limit {
 		d.counters.stopped.Inc(1)
 		return Result{Outcome: Failed, Err: repeatedCrash()}
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -66,7 +66,7 @@
 func newBooking(r *run) *booking {
 	key := sha256.Sum256([]byte(r.r.Workspace + "\x00" + r.r.Route + "\x00" + r.r.IdempotencyKey))
 	h := sha256.New()
-	h.Write([]byte(r.r.Method + "\x00" + r.r.Path + "\x00" + r.r.RawQuery + "\x00"))
+	h.Write([]byte(r.r.target() + "\x00"))
 	h.Write(r.r.Body)
 	return &booking{run: r, key: key[:], digest: h.Sum(nil), cancel: func() {}}
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -15,6 +15,9 @@
 	return !r.NonIdempotent && (r.Pool.Kind == config.KindEngine || endpoint.Repeatable(r.Method))
 }
 
+// target is what the request is addressed to.
+func (r *Request) target() string { return r.Method + " " + r.Path + "?" + r.RawQuery }
+
 // Outcome is what a caller is told about its request.
 type Outcome string
 
