Send empty bodies with a length

Cause: the guard against repetition by the HTTP client made the transport announce an empty body of POST, PUT and PATCH as chunked.

Change: the guard applies to methods that usually have no body; the transport does not repeat the others once a byte was sent.

Figures: the new test failed for POST, PUT and PATCH before the change (length -1, chunked) and passes after it.

Conclusion: calls without a body reach a service as they came.

--- a/endpoint/header.go
+++ b/endpoint/header.go
@@ -18,7 +18,11 @@
 
 // Repeatable says whether a call with the method may run twice, as HTTP defines it.
 func Repeatable(method string) bool {
-	return method != http.MethodPost && method != http.MethodPatch && method != http.MethodConnect
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
 }
 
 // CopyHeader copies the headers that are passed on from one side to the other.
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -94,10 +94,15 @@
 }
 
 // preventReplay gives the request a body that the transport cannot rewind, because the transport
-// repeats requests without a body or with GetBody when a reused connection breaks.
+// repeats requests without a body or with GetBody when a reused connection breaks. For methods that
+// usually have a body the transport would announce an empty one as chunked; those it does not repeat.
 func preventReplay(req *http.Request) {
 	req.GetBody = nil
-	if req.Body == nil || req.Body == http.NoBody {
+	if req.Body != nil && req.Body != http.NoBody {
+		return
+	}
+	switch req.Method {
+	case http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodOptions:
 		req.Body = io.NopCloser(eofReader{})
 	}
 }
--- a/modules/endpoint/plain/plain_test.go
+++ b/modules/endpoint/plain/plain_test.go
@@ -121,6 +121,21 @@
 	}
 }
 
+// Guards against an empty body that reaches the service in another form, which some services reject.
+func TestEmptyBody(t *testing.T) {
+	var seen *http.Request
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { seen = r }))
+	defer server.Close()
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions} {
+		if got := plain.New().Do(context.Background(), attempt(server.URL, method, ""), &recorder{}); !got.Complete {
+			t.Errorf("%s: %+v", method, got)
+		}
+		if seen.ContentLength != 0 || len(seen.TransferEncoding) > 0 || seen.Method != method {
+			t.Errorf("%s: length %d, encoding %v", method, seen.ContentLength, seen.TransferEncoding)
+		}
+	}
+}
+
 // Guards against the repetition by the HTTP client of a request whose pooled connection the service
 // closes instead of answering.
 func TestClientNeverRepeats(t *testing.T) {
