--- a/endpoint/header.go
+++ b/endpoint/header.go
@@ -16,6 +16,15 @@
 	"Content-Length": true, "Expect": true, "Host": true,
 }
 
+// Repeatable says whether a call with the method may run twice, as HTTP defines it.
+func Repeatable(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
 // CopyHeader copies the headers that are passed on from one side to the other.
 func CopyHeader(dst, src http.Header) {
 	var named map[string]bool
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -108,7 +108,7 @@
 	d.running.Add(1)
 	defer d.running.Add(-1)
 	d.counters.requests.Inc(1)
-	run := &run{d: d, r: r, fingerprint: poison.Of(r.Workspace, r.Body)}
+	run := &run{d: d, r: r, fingerprint: poison.Of(r.Workspace, r.target(), r.Body)}
 	res := run.do(ctx, out)
 	run.record(res)
 	return res
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -9,6 +9,15 @@
 	"github.com/chivewind/chivewind/endpoint"
 )
 
+// repeatable says whether the request may run twice. A plain call with a method that HTTP does not
+// define as idempotent may not, also without an Idempotency-Key.
+func (r *Request) repeatable() bool {
+	return !r.NonIdempotent && (r.Pool.Kind == config.KindEngine || endpoint.Repeatable(r.Method))
+}
+
+// target is what the request is addressed to.
+func (r *Request) target() string { return r.Method + " " + r.Path + "?" + r.RawQuery }
+
 // Outcome is what a caller is told about its request.
 type Outcome string
 
@@ -118,7 +127,6 @@
 	CodeKeyReused      = "idempotency_key_reused"
 	CodeUnknown        = "outcome_unknown"
 	CodeAnswerNotKept  = "answer_not_kept"
-	CodeInternal       = "internal_error"
 )
 
 // statusCallerGone is the usual status in logs for a caller that closed its connection.
