Serve from the first moment a daemon is named, and tell restarted daemons apart

Cause: (1) a rolling replacement under load had chats refused with "this daemon has no configuration yet": peers name a joined daemon to callers before it has its configuration. (2) a booking resent after its daemon was killed and replaced under the same id waited 20 s, because the new process counts as the sender of the intent. Ruled out: closed listeners (the refusals came from the new daemon), a lost record (the record was there as an intent). Change: a request waits up to 5 s for the first configuration. An intent whose daemon has an incarnation far ahead of the recorded one is abandoned.

--- a/internal/dispatch/duplicate.go
+++ b/internal/dispatch/duplicate.go
@@ -84,12 +84,28 @@
 	}
 	for _, m := range members.All() {
 		if m.Id == record.MemberId {
-			return m.State == peer.MemberState_MEMBER_STATE_DEAD || m.State == peer.MemberState_MEMBER_STATE_LEFT
+			return m.State == peer.MemberState_MEMBER_STATE_DEAD || m.State == peer.MemberState_MEMBER_STATE_LEFT ||
+				restarted(m, record)
 		}
 	}
 	return true
 }
 
+// restarted says that the daemon of an intent has ended and another process runs under its id. A
+// process begins with the wall clock in milliseconds as its incarnation and adds 1 at each refuted
+// suspicion, so that only a new process is ahead by a large part of the old one's age.
+func restarted(m *peer.Member, record *peer.LedgerRecord) bool {
+	if record.MemberIncarnation == 0 || m.Incarnation <= record.MemberIncarnation {
+		return false
+	}
+	age := record.BegunUnixMs - int64(record.MemberIncarnation)
+	ahead := int64(m.Incarnation - record.MemberIncarnation)
+	return ahead > max(age/2, minRestart.Milliseconds())
+}
+
+// minRestart is the least time between the starts of two processes under one id that tells them apart.
+const minRestart = 500 * time.Millisecond
+
 // replay answers with the stored answer.
 func (b *booking) replay(record *peer.LedgerRecord) *Result {
 	if !record.AnswerKept {
--- a/modules/front/auth.go
+++ b/modules/front/auth.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
@@ -30,11 +31,32 @@
 	return &dispatch.Error{Status: status, Code: code, Message: fmt.Sprintf(format, args...)}
 }
 
-// snapshot returns the configuration in force.
-func (f *Front) snapshot() (*config.Snapshot, *dispatch.Error) {
+const (
+	// configurationWait bounds the wait of a request for the daemon's first configuration. Peers name
+	// a daemon to callers as soon as it has joined, which can be before it has its configuration.
+	configurationWait = 5 * time.Second
+	// configurationPoll is the time between two looks at it.
+	configurationPoll = 20 * time.Millisecond
+)
+
+// snapshot returns the configuration in force. A daemon that has just started waits for it.
+func (f *Front) snapshot(ctx context.Context) (*config.Snapshot, *dispatch.Error) {
 	if s := f.o.Snapshot(); s != nil {
 		return s, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, configurationWait)
+	defer cancel()
+	ticker := time.NewTicker(configurationPoll)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+		if s := f.o.Snapshot(); s != nil {
+			return s, nil
+		}
+	}
 	e := refusal(http.StatusServiceUnavailable, codeNoConfiguration, "this daemon has no configuration yet")
 	e.RetryAfter = time.Second
 	return nil, e
--- a/modules/front/model.go
+++ b/modules/front/model.go
@@ -131,7 +131,7 @@
 
 // admit checks what precedes the body.
 func (f *Front) admit(r *http.Request) (*config.Snapshot, config.Workspace, *dispatch.Error) {
-	s, e := f.snapshot()
+	s, e := f.snapshot(r.Context())
 	if e != nil {
 		return nil, config.Workspace{}, e
 	}
--- a/test/integration/callers_test.go
+++ b/test/integration/callers_test.go
@@ -102,6 +102,12 @@
 		return answer{err: err, outcome: checker.Failed}
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode >= 400 {
+		raw, err := io.ReadAll(resp.Body)
+		a := answer{status: resp.StatusCode, cut: true, err: fmt.Errorf("refused: %s (%v)", raw, err)}
+		a.outcome = outcomeOf(resp, a)
+		return a
+	}
 	a := readStream(resp.Body, c.onToken)
 	a.status = resp.StatusCode
 	a.outcome = outcomeOf(resp, a)
