Let operators settle unknown requests and tell a mistyped attempt id

Cause: The dispatcher and the ledger computed the key of a record differently, so that settle never found one: it answered RESULT_ABSENT for a booking that had run. config attempt with a mistyped id advised to wait for the key-value service.

A malformed attempt id is answered with 400 invalid.

Figures: TestLedgerKey fails without the change (no record under the ledger's key in 1 records) and passes with it.

--- a/internal/configstore/settle.go
+++ b/internal/configstore/settle.go
@@ -133,11 +133,14 @@
 	return found, found.Sequence > 0, err
 }
 
+// ErrAttemptID means that a text is not an attempt id.
+var ErrAttemptID = errors.New("malformed attempt id")
+
 // Attempt says what became of a change. It settles one whose outcome is not known yet.
 func (s *Store) Attempt(ctx context.Context, attempt string) (Result, error) {
 	started, ok := attemptTime(attempt)
 	if !ok {
-		return Result{}, errors.New("malformed attempt id")
+		return Result{}, ErrAttemptID
 	}
 	s.mu.Lock()
 	for _, o := range s.open {
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -63,12 +63,18 @@
 	blocked *Result
 }
 
+// LedgerKey names the ledger record of a non-idempotent request. The parts cannot contain a NUL byte.
+func LedgerKey(workspace, route, idempotencyKey string) []byte {
+	key := sha256.Sum256([]byte(workspace + "\x00" + route + "\x00" + idempotencyKey))
+	return key[:]
+}
+
 func newBooking(r *run) *booking {
-	key := sha256.Sum256([]byte(r.r.Workspace + "\x00" + r.r.Route + "\x00" + r.r.IdempotencyKey))
+	key := LedgerKey(r.r.Workspace, r.r.Route, r.r.IdempotencyKey)
 	h := sha256.New()
 	h.Write([]byte(r.r.Method + "\x00" + r.r.Path + "\x00" + r.r.RawQuery + "\x00"))
 	h.Write(r.r.Body)
-	return &booking{run: r, key: key[:], digest: h.Sum(nil), cancel: func() {}}
+	return &booking{run: r, key: key, digest: h.Sum(nil), cancel: func() {}}
 }
 
 // call sends one request to the ledger. A nil reply means that nothing was recorded or read.
--- a/internal/dispatch/once_test.go
+++ b/internal/dispatch/once_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chivewind/chivewind/config"
 	"github.com/chivewind/chivewind/internal/dispatch"
+	"github.com/chivewind/chivewind/internal/ledger"
 	plainstandin "github.com/chivewind/chivewind/internal/standin/plain"
 	"github.com/chivewind/chivewind/peer"
 )
@@ -167,3 +168,14 @@
 		t.Errorf("outcome %q, %d runs, body %s", outcome(r), p.runs("key-1"), body)
 	}
 }
+
+// Guards against records that operators cannot settle because their key differs from the ledger's.
+func TestLedgerKey(t *testing.T) {
+	p := newPath(t, setup{})
+	p.post(t, booking, "key-1", "{}")
+	p.ledger.mu.Lock()
+	defer p.ledger.mu.Unlock()
+	if p.ledger.records[string(ledger.Key("registry", "/services/bookings/", "key-1"))] == nil {
+		t.Errorf("no record under the ledger's key in %d records", len(p.ledger.records))
+	}
+}
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -30,12 +30,25 @@
 		return oops.With("step", "settle").Wrap(err)
 	}
 	if reply.Result != peer.LedgerReply_RESULT_DONE {
-		return oops.With("step", "settle").Errorf("the record was not changed: %s", reply.Result)
+		return oops.With("step", "settle").Errorf("the record was not changed: %s", unsettled(reply.Result))
 	}
 	n.log.Info("request settled", "operator", operator, "workspace", req.Workspace, "route", req.Route, "ran", req.Ran)
 	return nil
 }
 
+// unsettled says why a record was not settled.
+func unsettled(r peer.LedgerReply_Result) string {
+	switch r {
+	case peer.LedgerReply_RESULT_ABSENT:
+		return "no request with this workspace, route and key is recorded"
+	case peer.LedgerReply_RESULT_EXISTS:
+		return "the request has an outcome, or began less than a minute ago and may still run"
+	case peer.LedgerReply_RESULT_UNAVAILABLE, peer.LedgerReply_RESULT_NOT_OWNER:
+		return "the key-value service or the partition's owner gives no answer"
+	}
+	return r.String()
+}
+
 // sampleInterval is the time between samples of the process's own cost.
 const sampleInterval = 5 * time.Second
 
--- a/modules/admin/changes.go
+++ b/modules/admin/changes.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -122,6 +123,10 @@
 
 func (s *Server) getAttempt(w http.ResponseWriter, r *http.Request) {
 	result, err := s.store.Attempt(r.Context(), r.PathValue("id"))
+	if errors.Is(err, configstore.ErrAttemptID) {
+		writeError(w, http.StatusBadRequest, &adminapi.Error{Code: adminapi.CodeInvalid, Message: err.Error(), AttemptID: r.PathValue("id")})
+		return
+	}
 	if err != nil {
 		writeError(w, http.StatusServiceUnavailable, &adminapi.Error{Code: adminapi.CodeUnavailable, Message: err.Error(), AttemptID: r.PathValue("id")})
 		return
