--- a/adminapi/adminapi.go
+++ b/adminapi/adminapi.go
@@ -47,7 +47,7 @@
 	Revision  uint64 `json:"revision"`
 }
 
-// Attempt is the outcome of a change: accepted, refused or unknown.
+// Attempt is the outcome of a change: accepted, rejected or unknown.
 type Attempt struct {
 	AttemptID string `json:"attempt_id"`
 	Outcome   string `json:"outcome"`
--- a/cli/admin.go
+++ b/cli/admin.go
@@ -257,10 +257,22 @@
 	outcome := cmd.Flag("outcome", "What you found at the endpoint: ran or not-run.").Required().Enum("ran", "not-run")
 	cmd.Action(func(*kingpin.ParseContext) error {
 		req.Ran = *outcome == "ran"
-		return a.change(http.MethodPost, "/admin/v1/ledger/settle", req, 0)
+		return a.settle(req)
 	})
 }
 
+func (a *app) settle(req adminapi.SettleRequest) error {
+	c, err := a.client()
+	if err != nil {
+		return err
+	}
+	// The decision changes a ledger record, not the configuration, so that it has no revision.
+	if err := c.Send(a.ctx, http.MethodPost, "/admin/v1/ledger/settle", req, 0, nil); err != nil {
+		return err
+	}
+	return a.print(req, func(t *tableWriter) { t.row("settled", req.Workspace, req.Route, req.IdempotencyKey) })
+}
+
 func isNotFound(err error) bool {
 	apiErr, ok := err.(*adminapi.Error)
 	return ok && apiErr.Code == adminapi.CodeNotFound
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -43,3 +43,16 @@
 		})
 	}
 }
+
+// TestTableLines guards against a message of several lines that breaks the columns of a table.
+func TestTableLines(t *testing.T) {
+	var out bytes.Buffer
+	w := newTable(&out)
+	w.row("a", "peer unreachable\nconnection refused", "")
+	if err := w.flush(); err != nil {
+		t.Fatal(err)
+	}
+	if want := "a  peer unreachable; connection refused  -\n"; out.String() != want {
+		t.Errorf("got %q, want %q", out.String(), want)
+	}
+}
--- a/cli/output.go
+++ b/cli/output.go
@@ -19,11 +19,11 @@
 	return &tableWriter{w: tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)}
 }
 
-// row writes one line; empty cells are shown as a dash.
+// row writes one line; empty cells are shown as a dash, lines within a cell are joined.
 func (t *tableWriter) row(cells ...any) {
 	texts := make([]string, len(cells))
 	for i, c := range cells {
-		texts[i] = fmt.Sprint(c)
+		texts[i] = strings.ReplaceAll(fmt.Sprint(c), "\n", "; ")
 		if texts[i] == "" {
 			texts[i] = "-"
 		}
