Answer an unsettled attempt as unknown

Cause: config attempt during an outage ended with exit code 6 and "nothing was changed", although the change may have been accepted.

Change: GET /admin/v1/attempts/{id} answers 504 unknown while the key-value service gives no answer, so that the command ends with exit code 4.

--- a/modules/admin/changes.go
+++ b/modules/admin/changes.go
@@ -128,7 +128,8 @@
 		return
 	}
 	if err != nil {
-		writeError(w, http.StatusServiceUnavailable, &adminapi.Error{Code: adminapi.CodeUnavailable, Message: err.Error(), AttemptID: r.PathValue("id")})
+		// The change may have been accepted, so that CodeUnavailable with "nothing was changed" is wrong.
+		writeError(w, http.StatusGatewayTimeout, &adminapi.Error{Code: adminapi.CodeUnknown, Message: err.Error(), AttemptID: r.PathValue("id")})
 		return
 	}
 	writeJSON(w, http.StatusOK, adminapi.Attempt{AttemptID: result.Attempt, Outcome: string(result.Outcome), Revision: result.Revision})
