--- a/modules/admin/changes.go
+++ b/modules/admin/changes.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -122,8 +123,13 @@
 
 func (s *Server) getAttempt(w http.ResponseWriter, r *http.Request) {
 	result, err := s.store.Attempt(r.Context(), r.PathValue("id"))
+	if errors.Is(err, configstore.ErrAttemptID) {
+		writeError(w, http.StatusBadRequest, &adminapi.Error{Code: adminapi.CodeInvalid, Message: err.Error(), AttemptID: r.PathValue("id")})
+		return
+	}
 	if err != nil {
-		writeError(w, http.StatusServiceUnavailable, &adminapi.Error{Code: adminapi.CodeUnavailable, Message: err.Error(), AttemptID: r.PathValue("id")})
+		// The change may have been accepted, so that CodeUnavailable with "nothing was changed" is wrong.
+		writeError(w, http.StatusGatewayTimeout, &adminapi.Error{Code: adminapi.CodeUnknown, Message: err.Error(), AttemptID: r.PathValue("id")})
 		return
 	}
 	writeJSON(w, http.StatusOK, adminapi.Attempt{AttemptID: result.Attempt, Outcome: string(result.Outcome), Revision: result.Revision})
