Let a ledger begin use what its lookup has read

Cause: each non-idempotent request read its record twice from the key-value service, in the lookup and again in the group of the begin, because lookups did not keep what they read. Ruled out: reads of the configuration, which are zero at rest.

Change: a lookup keeps its result in the partition's memory unless the partition's goroutine has stored the key since the read began. The decision of a begin stays conditional on the fencing token and on the position of the partition.

Conclusion: tests guard the number of reads and a late lookup.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -259,3 +259,39 @@
 		})
 	}
 }
+
+// TestBeginUsesLookup guards against a second read of the service for each request: at the target
+// the reads of lookups alone are most of what the service takes.
+func TestBeginUsesLookup(t *testing.T) {
+	run(t, []string{"a"}, func(t *testing.T, f *fleet) {
+		d, key := f.daemons[0], Key("w", "/r", "1")
+		before := d.kv.Counters().Ranges
+		runSteps(t, f, key, []step{
+			{"look", 0, actLookup, "r1", "", absent},
+			{"begin", 0, actBegin, "r1", "", begun},
+			{"finish", 0, actFinish, "r1", "", done},
+			{"look again", 0, actLookup, "r2", "", exists},
+		})
+		if reads := d.kv.Counters().Ranges - before; reads != 1 {
+			t.Errorf("%d reads, want 1", reads)
+		}
+	})
+}
+
+// TestLateLookup guards against a slow lookup that replaces a newer record in memory, after which
+// the key could be begun again.
+func TestLateLookup(t *testing.T) {
+	run(t, []string{"a"}, func(t *testing.T, f *fleet) {
+		d, key := f.daemons[0], Key("w", "/r", "1")
+		d.mu.Lock()
+		p := d.owned[PartitionOf(key)]
+		d.mu.Unlock()
+		read := p.startRead(recordKey(p.id, key))
+		runSteps(t, f, key, []step{{"begin", 0, actBegin, "r1", "", begun}})
+		p.endRead(read, nil, nil)
+		runSteps(t, f, key, []step{
+			{"look", 0, actLookup, "r2", "", exists},
+			{"begin again", 0, actBegin, "r2", "", exists},
+		})
+	})
+}
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -53,6 +53,9 @@
 	partial bool
 }
 
+// recordRead identifies one read outside of the partition's goroutine.
+type recordRead struct{ key string }
+
 // partition is one partition under this daemon's lease. Its goroutine is the only one that writes.
 type partition struct {
 	ledger  *Ledger
@@ -73,6 +76,9 @@
 	mu    sync.Mutex
 	queue []*action
 	cache map[string]cached
+	// reading has the lookups that read a record now. A store of the key drops its entry, so that no
+	// older record replaces a newer one.
+	reading map[string]*recordRead
 	// order lists the cached keys, the oldest first.
 	order []string
 }
@@ -82,7 +88,7 @@
 func newPartition(ctx context.Context, l *Ledger, id uint32, h *lease.Holder) (*partition, error) {
 	p := &partition{
 		ledger: l, id: id, holder: h, limiter: rate.NewLimiter(txnRate, txnBurst),
-		done: make(chan struct{}), wake: make(chan struct{}, 1), cache: map[string]cached{},
+		done: make(chan struct{}), wake: make(chan struct{}, 1), cache: map[string]cached{}, reading: map[string]*recordRead{},
 	}
 	reply, err := l.KV.Range(ctx, platform.RangeRequest{Key: sequenceKey(id)})
 	if err != nil {
@@ -134,11 +140,15 @@
 
 // lookup answers from memory or from the service.
 func (p *partition) lookup(ctx context.Context, req *peer.LedgerRequest) (*peer.LedgerReply, error) {
-	c, ok := p.cached(recordKey(p.id, req.Key))
+	key := recordKey(p.id, req.Key)
+	c, ok := p.cached(key)
 	record := c.record
 	if !ok || c.partial {
+		read := p.startRead(key)
 		var err error
-		if record, err = p.read(ctx, recordKey(p.id, req.Key)); err != nil {
+		record, err = p.read(ctx, key)
+		p.endRead(read, record, err)
+		if err != nil {
 			return unavailable(), nil
 		}
 	}
@@ -254,15 +264,44 @@
 	return c, ok
 }
 
+// startRead begins a read whose result the memory may keep: ACTION_BEGIN mostly follows a lookup
+// of its key, and a second read of it would double the reads of the service.
+func (p *partition) startRead(key string) *recordRead {
+	read := &recordRead{key: key}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reading[key] = read
+	return read
+}
+
+// endRead keeps what a lookup has read, unless the goroutine has stored the key since.
+func (p *partition) endRead(read *recordRead, r *peer.LedgerRecord, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reading[read.key] != read {
+		return
+	}
+	delete(p.reading, read.key)
+	if err == nil {
+		p.keep(read.key, r)
+	}
+}
+
 // store keeps a record in memory. Only the goroutine calls it, so memory never lags behind writes.
 func (p *partition) store(key string, r *peer.LedgerRecord) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.reading, key)
+	p.keep(key, r)
+}
+
+// keep adds a record to the memory. p.mu is held.
+func (p *partition) keep(key string, r *peer.LedgerRecord) {
 	c := cached{record: r}
 	if r != nil && len(r.Answer) > maxCachedAnswer {
 		c.record, c.partial = proto.CloneOf(r), true
 		c.record.Answer = nil
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if _, ok := p.cache[key]; !ok {
 		p.order = append(p.order, key)
 	}
