Find settled requests by one ledger key and test single mechanisms

Cause: An operator's settle never found the record of a request. The entry daemon and the operator's command computed the ledger key in two ways, so the command answered RESULT_ABSENT. Tests of each side used one of the two only.

Change: dispatch.LedgerKey is the only definition; ledger.Key returns it. The partition follows from the key in the ledger, as before.

Ruled out: the record was present and old enough (same command with the same key answers RESULT_ABSENT, not RESULT_EXISTS).

Each new package test fails without its mechanism.

--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
-	"encoding/binary"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -11,8 +11,6 @@
 )
 
 const (
-	// partitions is the number of partitions of the ledger.
-	partitions = 64
 	// maxKeptAnswer bounds an answer in a ledger record.
 	maxKeptAnswer = 64 << 10
 	// ledgerTimeout bounds one call of the ledger. It exceeds the ledger's own limit, after which the
@@ -64,11 +62,20 @@
 }
 
 func newBooking(r *run) *booking {
-	key := sha256.Sum256([]byte(r.r.Workspace + "\x00" + r.r.Route + "\x00" + r.r.IdempotencyKey))
 	h := sha256.New()
 	h.Write([]byte(r.r.Method + "\x00" + r.r.Path + "\x00" + r.r.RawQuery + "\x00"))
 	h.Write(r.r.Body)
-	return &booking{run: r, key: key[:], digest: h.Sum(nil), cancel: func() {}}
+	return &booking{run: r, key: LedgerKey(r.r.Workspace, r.r.Route, r.r.IdempotencyKey), digest: h.Sum(nil), cancel: func() {}}
+}
+
+// LedgerKey returns the ledger key of a request: the digest of workspace, route and idempotency key.
+// An operator who settles a request finds its record by the same key.
+func LedgerKey(workspace, route, idempotencyKey string) []byte {
+	h := sha256.New()
+	for _, part := range []string{workspace, route, idempotencyKey} {
+		fmt.Fprintf(h, "%d:%s", len(part), part)
+	}
+	return h.Sum(nil)
 }
 
 // call sends one request to the ledger. A nil reply means that nothing was recorded or read.
@@ -76,7 +83,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
 	reply, err := b.run.d.o.Ledger.Do(ctx, &peer.LedgerRequest{
-		Action: action, Partition: binary.BigEndian.Uint32(b.key) % partitions, Key: b.key,
+		Action: action, Key: b.key,
 		BodyDigest: b.digest, RequestId: b.run.r.AttemptID, MemberId: b.run.d.o.MemberID, Record: record,
 	})
 	if err != nil {
--- a/internal/ledger/fault_test.go
+++ b/internal/ledger/fault_test.go
@@ -85,18 +85,23 @@
 }
 
 // TestPausedOwner guards against an owner that confirms after its lease has passed, and against two
-// daemons that both begin a key, when the owner stands still before or after its transaction.
+// daemons that both begin a key, when the owner stands still before or after its transaction. The
+// write of an owner whose successor has only read so far must not take effect either: the successor
+// has answered that there is no record.
 func TestPausedOwner(t *testing.T) {
 	const pause = 3 * DefaultLeaseTTL
 	for _, c := range []struct {
 		desc  string
 		fault kv.Fault
-		want  peer.LedgerReply_Result
+		// action is that of the new owner.
+		action peer.LedgerRequest_Action
+		want   peer.LedgerReply_Result
 		// holder is the request whose record must stay.
 		holder string
 	}{
-		{"before the transaction", kv.Fault{Before: pause}, begun, "r2"},
-		{"after the transaction", kv.Fault{After: pause}, exists, "r1"},
+		{"before the transaction", kv.Fault{Before: pause}, actBegin, begun, "r2"},
+		{"before the transaction, new owner only reads", kv.Fault{Before: pause}, actLookup, absent, ""},
+		{"after the transaction", kv.Fault{After: pause}, actBegin, exists, "r1"},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			run(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
@@ -118,8 +123,8 @@
 				owner.kv.SetDelay(pause)
 				f.setLive(other.id)
 				time.Sleep(DefaultLeaseTTL + 2*time.Second)
-				if got, _ := other.do(t.Context(), actBegin, key, "r2", "body"); got != c.want {
-					t.Errorf("begin at the new owner: %s, want %s", got, c.want)
+				if got, _ := other.do(t.Context(), c.action, key, "r2", "body"); got != c.want {
+					t.Errorf("call at the new owner: %s, want %s", got, c.want)
 				}
 				owner.kv.SetDelay(0)
 				if reply := <-confirmed; reply.GetResult() == begun {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"strconv"
@@ -9,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/chivewind/chivewind/internal/dispatch"
 	"github.com/chivewind/chivewind/peer"
 	"github.com/chivewind/chivewind/platform"
 )
@@ -28,11 +28,7 @@
 
 // Key returns the ledger key of a request: the digest of workspace, route and idempotency key.
 func Key(workspace, route, idempotencyKey string) []byte {
-	h := sha256.New()
-	for _, part := range []string{workspace, route, idempotencyKey} {
-		fmt.Fprintf(h, "%d:%s", len(part), part)
-	}
-	return h.Sum(nil)
+	return dispatch.LedgerKey(workspace, route, idempotencyKey)
 }
 
 // PartitionOf returns the partition of a key.
--- a/modules/endpoint/plain/plain_test.go
+++ b/modules/endpoint/plain/plain_test.go
@@ -162,3 +162,25 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// Guards against a non-idempotent request on a pooled connection, which the service may be closing at
+// that moment: its outcome would be unknown without need.
+func TestNonIdempotentFreshConnection(t *testing.T) {
+	connections := map[string]bool{}
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		connections[r.RemoteAddr] = true
+	}))
+	defer server.Close()
+	k := plain.New()
+	a := attempt(server.URL, http.MethodPost, "")
+	a.Request.NonIdempotent = true
+	const requests = 3
+	for range requests {
+		if got := k.Do(context.Background(), a, &recorder{}); !got.Complete {
+			t.Fatalf("%+v", got)
+		}
+	}
+	if len(connections) != requests {
+		t.Errorf("%d requests used %d connections", requests, len(connections))
+	}
+}
