Make integration tests fail without the mechanism that they guard

Cause: Trials with one mechanism switched off passed: tier order (the order by slack sufficed), ejection of stragglers (the choice by load sufficed), the announcement of a leave (gossip was quick enough), the inter-token timeout (a failed chat was no violation), cancellation for a caller who left before the first token, resumption, and the comparisons that keep out an older configuration. The checker's rule on a false "not run" had no runs to compare.

Change: These tests check the mechanism itself; callers send request ids that reach the endpoints.

--- a/test/integration/callers_test.go
+++ b/test/integration/callers_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -81,31 +82,64 @@
 }
 
 func (s *system) stream(ctx context.Context, d *daemon, c chat) answer {
+	req, err := c.request(ctx, d)
+	if err != nil {
+		return answer{err: err, outcome: checker.Failed}
+	}
+	resp, err := callerClient.Do(req)
+	if err != nil {
+		return answer{err: err, outcome: checker.Failed}
+	}
+	defer resp.Body.Close()
+	a := readStream(resp.Body, c.onToken)
+	a.status = resp.StatusCode
+	a.outcome = outcomeOf(resp, a)
+	return a
+}
+
+// request returns the chat completion as a request to a daemon.
+func (c chat) request(ctx context.Context, d *daemon) (*http.Request, error) {
 	body, err := json.Marshal(map[string]any{
 		"model": "bonsai", "stream": true, "max_tokens": c.maxTokens,
 		"messages": []map[string]string{{"role": "user", "content": c.prompt}},
 	})
 	if err != nil {
-		return answer{err: err, outcome: checker.Failed}
+		return nil, err
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
-		return answer{err: err, outcome: checker.Failed}
+		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Chivewind-Workspace", c.workspace)
+	if c.id != "" {
+		req.Header.Set("X-Request-Id", c.id)
+	}
 	if c.class != "" {
 		req.Header.Set("X-Chivewind-Class", c.class)
 	}
-	resp, err := callerClient.Do(req)
+	return req, nil
+}
+
+// openStream sends a chat completion and reads nothing of the answer.
+func (s *system) openStream(ctx context.Context, d *daemon, c chat) net.Conn {
+	s.t.Helper()
+	req, err := c.request(ctx, d)
 	if err != nil {
-		return answer{err: err, outcome: checker.Failed}
+		s.t.Fatal(err)
 	}
-	defer resp.Body.Close()
-	a := readStream(resp.Body, c.onToken)
-	a.status = resp.StatusCode
-	a.outcome = outcomeOf(resp, a)
-	return a
+	conn, err := net.Dial("tcp", d.callers)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	// A small receive buffer makes the daemon's writes block soon.
+	if err := conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := req.Write(conn); err != nil {
+		s.t.Fatal(err)
+	}
+	return conn
 }
 
 // callerClient opens one connection for each request, as many small callers do.
@@ -180,13 +214,20 @@
 	return a
 }
 
-// book sends a non-idempotent booking with a key.
+// book sends a non-idempotent booking with a key, which is also the request id.
 func (s *system) book(ctx context.Context, d *daemon, key, body string) answer {
+	return s.bookAs(ctx, d, key, key, body)
+}
+
+// bookAs sends a booking with a request id of its own, so that the runs at the plain services tell
+// which of several sendings of a key ran.
+func (s *system) bookAs(ctx context.Context, d *daemon, id, key, body string) answer {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers+"/bookings/new", strings.NewReader(body))
 	if err != nil {
 		return answer{err: err, outcome: checker.Failed}
 	}
 	req.Header.Set("X-Chivewind-Workspace", "show")
+	req.Header.Set("X-Request-Id", id)
 	req.Header.Set("Idempotency-Key", key)
 	resp, err := callerClient.Do(req)
 	if err != nil {
@@ -209,17 +250,51 @@
 	return total
 }
 
-// runs reads a plain stand-in's runs by key. A stand-in that has crashed answers again after its
-// down time.
+// runs reads a plain stand-in's runs by key.
 func (v *service) runs(t *testing.T) map[string]int {
 	t.Helper()
-	var runs struct {
-		ByKey map[string]int `json:"by_key"`
-	}
+	return v.plainRuns(t).ByKey
+}
+
+// plainRuns are the runs that a plain stand-in counted.
+type plainRuns struct {
+	ByKey map[string]int `json:"by_key"`
+	ByID  map[string]int `json:"by_id"`
+}
+
+// plainRuns reads a plain stand-in's runs. A stand-in that has crashed answers again after its
+// down time.
+func (v *service) plainRuns(t *testing.T) plainRuns {
+	t.Helper()
+	var runs plainRuns
+	eventually(t, requestBound, "runs of "+v.id, func() error {
+		return getJSON("http://"+v.addr+"/admin/runs", &runs)
+	})
+	return runs
+}
+
+// engineRun counts the attempts of one request id or prompt at an engine.
+type engineRun struct {
+	Started   int `json:"started"`
+	Completed int `json:"completed"`
+	Resumed   int `json:"resumed"`
+	Canceled  int `json:"canceled"`
+}
+
+// engineRuns are the attempts that an engine stand-in counted.
+type engineRuns struct {
+	ByID     map[string]engineRun `json:"by_id"`
+	ByPrompt map[string]engineRun `json:"by_prompt"`
+}
+
+// engineRuns reads an engine stand-in's attempts, after its down time if it has crashed.
+func (v *service) engineRuns(t *testing.T) engineRuns {
+	t.Helper()
+	var runs engineRuns
 	eventually(t, requestBound, "runs of "+v.id, func() error {
 		return getJSON("http://"+v.addr+"/admin/runs", &runs)
 	})
-	return runs.ByKey
+	return runs
 }
 
 func (s *system) getJSON(url string, into any) {
--- a/test/integration/fault_config_test.go
+++ b/test/integration/fault_config_test.go
@@ -185,6 +185,7 @@
 	t.Parallel()
 	s := newSystem(t, options{daemons: 3, engines: 1})
 	s.watchRevisions()
+	backup := s.readKV("config/")
 	s.daemons[2].freeze()
 	var last adminapi.Change
 	for i := range 4 {
@@ -210,8 +211,26 @@
 	// The service loses its state: what is in force stays in force.
 	s.kv.kill()
 	s.kv.process = startProcess(t, s.dir, "kv", "standin", "kv", "--listen", s.kv.addr)
+	eventually(t, startTime, "kv listens", func() error {
+		resp, err := http.Get("http://" + s.kv.addr + "/")
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err
+	})
+	wait(2 * time.Second)
+	s.waitRevision(last.Revision)
+	// A backup of the first revision is restored; daemons that restart learn it from the service.
+	s.writeKV(backup)
 	wait(4 * time.Second)
 	s.waitRevision(last.Revision)
+	older := 0
+	for _, d := range s.daemons {
+		older += d.counter(t, "chivewind_configstore_older_heads_total") + d.counter(t, "chivewind_replica_older_versions_total")
+	}
+	if older == 0 {
+		t.Error("no daemon saw the restored older configuration; the test shows nothing")
+	}
 	s.log.check()
 }
 
--- a/test/integration/fault_request_test.go
+++ b/test/integration/fault_request_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/chivewind/chivewind/adminapi"
+	"github.com/chivewind/chivewind/config"
 	"github.com/chivewind/chivewind/internal/checker"
+	"github.com/chivewind/chivewind/internal/faultproxy"
 )
 
 // TestFaultLedgerOwnerFrozen guards against a booking that runs twice because the owner of its record
@@ -68,6 +72,9 @@
 	}
 	l := s.startLoad(4, 0)
 	wait(beforeFault)
+	// Daemons far apart learn of a crash later than the caller can send its request again, unless its
+	// failure is returned after the announcement.
+	s.setPeers(faultproxy.Fault{Latency: 60 * time.Millisecond})
 	const prompt = "POISON pill length=50"
 	for i := range 9 {
 		a := s.stream(withTimeout(t, requestBound), s.daemons[i%3], chat{prompt: prompt, maxTokens: 50, workspace: "show"})
@@ -93,14 +100,8 @@
 // answers again after its down time.
 func (s *system) promptRuns(v *service, prompt string) int {
 	s.t.Helper()
-	var runs struct {
-		ByPrompt map[string]struct {
-			Started int `json:"started"`
-		} `json:"by_prompt"`
-	}
-	eventually(s.t, requestBound, "runs of "+v.id, func() error { return getJSON("http://"+v.addr+"/admin/runs", &runs) })
 	total := 0
-	for p, r := range runs.ByPrompt {
+	for p, r := range v.engineRuns(s.t).ByPrompt {
 		if strings.Contains(p, prompt) {
 			total += r.Started
 		}
@@ -122,11 +123,7 @@
 		cancel()
 	}
 	eventually(t, 3*time.Second, "the engine stops both", func() error {
-		var runs struct {
-			ByID map[string]struct {
-				Canceled int `json:"canceled"`
-			} `json:"by_id"`
-		}
+		var runs engineRuns
 		if err := getJSON("http://"+s.engines[0].addr+"/admin/runs", &runs); err != nil {
 			return err
 		}
@@ -141,11 +138,47 @@
 	})
 }
 
+// TestFaultCallerGoneBeforeFirstToken guards against an engine that goes on processing the prompt of a
+// caller who has left: no write to the caller fails yet.
+func TestFaultCallerGoneBeforeFirstToken(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, options{daemons: 2, engines: 1, prefill: "5s"})
+	ctx, cancel := context.WithCancel(withTimeout(t, requestBound))
+	defer cancel()
+	done := make(chan answer, 1)
+	go func() {
+		done <- s.stream(ctx, s.daemons[0], chat{id: "gone", prompt: "gone", maxTokens: 5, workspace: "show"})
+	}()
+	engine := s.engines[0]
+	eventually(t, requestBound, "the engine begins", func() error {
+		if s.engineRuns(engine) == 0 {
+			return errors.New("no run")
+		}
+		return nil
+	})
+	cancel()
+	<-done
+	eventually(t, 2*time.Second, "the engine stops", func() error {
+		if r := engine.engineRuns(t).ByID["gone"]; r.Canceled != 1 {
+			return fmt.Errorf("%+v", r)
+		}
+		return nil
+	})
+}
+
 // TestFaultBurstKeepsTiers guards against requests of the highest tier that are shed or miss out while
 // a burst of the lowest tier fills the capacity.
 func TestFaultBurstKeepsTiers(t *testing.T) {
 	t.Parallel()
-	s := newSystem(t, options{daemons: 3, engines: 2, tokenTime: "5ms"})
+	s := newSystem(t, options{daemons: 3, engines: 2, tokenTime: "5ms", configure: func(c *config.Config) {
+		// The lowest tier has the shortest target and a queue of seconds, so that the order by slack
+		// alone would start it first.
+		long := &c.Presets[0].Classes[1]
+		long.FirstToken, long.Total = config.Duration(time.Second), 0
+		for i := range c.Endpoints {
+			c.Endpoints[i].MaxSlots = 8
+		}
+	}})
 	var wg sync.WaitGroup
 	ctx := withTimeout(t, 2*loadRequestBound)
 	stop := make(chan struct{})
@@ -231,7 +264,13 @@
 	s := newSystem(t, options{daemons: 2, engines: 4})
 	s.setFaults(s.engines[0], map[string]any{"slowdown": 20})
 	l := s.startLoad(10, 0)
-	wait(4 * time.Second)
+	eventually(t, requestBound, "the straggler is ejected", func() error {
+		// The choice by load alone gives it less work too; that is not enough.
+		if state := s.endpointState(s.engines[0].id); state != "ejected" && state != "trial" {
+			return fmt.Errorf("state %q", state)
+		}
+		return nil
+	})
 	before := make([]int, len(s.engines))
 	for i, e := range s.engines {
 		before[i] = s.engineRuns(e)
@@ -249,3 +288,18 @@
 	}
 	s.log.check()
 }
+
+// endpointState returns an endpoint's state at its scheduler.
+func (s *system) endpointState(id string) string {
+	s.t.Helper()
+	var endpoints []adminapi.Endpoint
+	if err := s.cli(s.daemons[0], &endpoints, "endpoints"); err != nil {
+		s.t.Fatal(err)
+	}
+	for _, e := range endpoints {
+		if e.ID == id {
+			return e.State
+		}
+	}
+	return ""
+}
--- a/test/integration/fault_stop_test.go
+++ b/test/integration/fault_stop_test.go
@@ -1,7 +1,11 @@
 package integration
 
 import (
+	"context"
 	"fmt"
+	"os"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -21,7 +25,13 @@
 	s := newSystem(t, options{daemons: 4, engines: 2, plains: 1})
 	l := s.startLoad(6, 2)
 	wait(beforeFault)
+	announced := make(chan struct{})
+	go func() {
+		defer close(announced)
+		s.requireAnnounced(s.daemons[0])
+	}()
 	s.daemons[0].terminate(stopBound)
+	<-announced
 	var both sync.WaitGroup
 	for _, d := range s.daemons[1:3] {
 		both.Go(func() { d.terminate(stopBound) })
@@ -34,6 +44,35 @@
 	s.log.check()
 }
 
+// requireAnnounced checks that no other daemon names a stopping one from the moment at which that one
+// starts to wait for the end of the entry answers with its address.
+func (s *system) requireAnnounced(leaving *daemon) {
+	for {
+		raw, _ := os.ReadFile(leaving.log)
+		if strings.Contains(string(raw), "waiting until entry answers") {
+			break
+		}
+		select {
+		case <-leaving.done:
+			s.t.Error("the daemon ended without waiting for the end of entry answers")
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), requestBound)
+	defer cancel()
+	// An answer names a random part of the daemons.
+	const asks = 10
+	for range asks {
+		for _, d := range s.daemons {
+			if d != leaving && slices.Contains(entryOf(ctx, d), "http://"+leaving.callers) {
+				s.t.Errorf("%s names %s, which already waits for the end of such answers", d.id, leaving.id)
+				return
+			}
+		}
+	}
+}
+
 // TestFaultRollingReplacement guards against a replacement of all VMs, one after the other, that cuts
 // off requests or loses the configuration.
 func TestFaultRollingReplacement(t *testing.T) {
@@ -91,6 +130,42 @@
 	s.log.check()
 }
 
+// TestFaultTwoStopsDuringLongStream guards against a stream that is cut because the scheduler of its
+// endpoint stops while the stream's own daemon stops too.
+func TestFaultTwoStopsDuringLongStream(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, options{daemons: 3, engines: 2, tokenTime: "40ms"})
+	const tokens = 250
+	var streams, stops sync.WaitGroup
+	for i, d := range s.daemons[:2] {
+		started := make(chan struct{})
+		streams.Go(func() {
+			c := chat{id: d.id, prompt: longPrompt("history "+d.id, tokens), maxTokens: tokens, workspace: "archive", onToken: func(n int) {
+				if n == 1 {
+					close(started)
+				}
+			}}
+			if err := s.send(withTimeout(t, loadRequestBound), d, c).mustComplete(); err != nil {
+				t.Errorf("stream %d: %v", i, err)
+			}
+		})
+		<-started
+	}
+	for _, d := range s.daemons[:2] {
+		stops.Go(func() { d.terminate(stopBound) })
+	}
+	streams.Wait()
+	stops.Wait()
+	for _, e := range s.engines {
+		for id, r := range e.engineRuns(t).ByID {
+			if r.Resumed > 0 || r.Canceled > 0 {
+				t.Errorf("stream %s was moved or canceled at %s: %+v", id, e.id, r)
+			}
+		}
+	}
+	s.log.check()
+}
+
 // longPrompt returns a prompt whose answer at the stand-in engine has n tokens.
 func longPrompt(text string, n int) string { return fmt.Sprintf("%s length=%d", text, n) }
 
@@ -131,14 +206,8 @@
 // engineRuns returns the attempts that an engine began.
 func (s *system) engineRuns(v *service) int {
 	s.t.Helper()
-	var runs struct {
-		ByID map[string]struct {
-			Started int `json:"started"`
-		} `json:"by_id"`
-	}
-	s.getJSON("http://"+v.addr+"/admin/runs", &runs)
 	total := 0
-	for _, r := range runs.ByID {
+	for _, r := range v.engineRuns(s.t).ByID {
 		total += r.Started
 	}
 	return total
--- a/test/integration/fault_table_test.go
+++ b/test/integration/fault_table_test.go
@@ -16,20 +16,23 @@
 	// begin brings the fault about and end heals it.
 	begin, end func(*system)
 	lasts      time.Duration
+	// spares says that no chat may fail or be refused: other endpoints can take over.
+	spares bool
 }
 
 // The faults of single parts. Each is also part of a pair.
 var (
-	engineCrash  = fault{desc: "engine crashes", begin: func(s *system) { s.crash(s.engines[0], "1500ms") }}
-	engineFreeze = fault{desc: "engine frozen", begin: func(s *system) { s.engines[0].freeze() }, end: func(s *system) { s.engines[0].thaw() }}
-	engineCut    = proxyFault("engine cut off", func(s *system) *faultproxy.Proxy { return s.engines[0].proxy }, faultproxy.Fault{Cut: true})
-	engineSilent = proxyFault("engine connections go silent", func(s *system) *faultproxy.Proxy { return s.engines[0].proxy }, faultproxy.Fault{SilenceOpen: true})
-	engineOneWay = proxyFault("engine's answers are lost", func(s *system) *faultproxy.Proxy { return s.engines[0].proxy }, faultproxy.Fault{DropToClient: true})
-	engineSlow   = proxyFault("engine slow to reach", func(s *system) *faultproxy.Proxy { return s.engines[0].proxy }, faultproxy.Fault{Latency: 100 * time.Millisecond, Jitter: 100 * time.Millisecond})
+	engineCrash  = fault{desc: "engine crashes", spares: true, begin: func(s *system) { s.crash(s.engines[0], "1500ms") }}
+	engineFreeze = fault{desc: "engine frozen", spares: true, begin: func(s *system) { s.engines[0].freeze() }, end: func(s *system) { s.engines[0].thaw() }}
+	engineCut    = engineFault("engine cut off", faultproxy.Fault{Cut: true})
+	engineSilent = engineFault("engine connections go silent", faultproxy.Fault{SilenceOpen: true})
+	engineOneWay = engineFault("engine's answers are lost", faultproxy.Fault{DropToClient: true})
+	engineSlow   = engineFault("engine slow to reach", faultproxy.Fault{Latency: 100 * time.Millisecond, Jitter: 100 * time.Millisecond})
 	daemonKill   = fault{desc: "daemon killed and replaced", begin: func(s *system) { s.daemons[0].kill() }, end: func(s *system) { s.startDaemon(s.daemons[0]) }}
 	daemonFreeze = fault{desc: "daemon frozen", begin: func(s *system) { s.daemons[1].freeze() }, end: func(s *system) { s.daemons[1].thaw() }, lasts: 8 * time.Second}
 	peerCut      = proxyFault("daemon cut off from peers", func(s *system) *faultproxy.Proxy { return s.daemons[0].peer }, faultproxy.Fault{Cut: true})
 	peerOneWay   = proxyFault("daemon receives nothing from peers", func(s *system) *faultproxy.Proxy { return s.daemons[0].peer }, faultproxy.Fault{DropToServer: true})
+	peerNoAnswer = proxyFault("daemon's answers to peers are lost", func(s *system) *faultproxy.Proxy { return s.daemons[0].peer }, faultproxy.Fault{DropToClient: true})
 	peerSilent   = proxyFault("peer connections go silent", func(s *system) *faultproxy.Proxy { return s.daemons[0].peer }, faultproxy.Fault{SilenceOpen: true})
 	peersAllCut  = fault{desc: "all daemons cut off from each other", lasts: 8 * time.Second,
 		begin: func(s *system) { s.setPeers(faultproxy.Fault{Cut: true}) },
@@ -39,6 +42,7 @@
 	kvSilent      = kvFault("key-value connections go silent", faultproxy.Fault{SilenceOpen: true})
 	kvLostReplies = kvFault("key-value replies lost", faultproxy.Fault{LoseReplies: true})
 	kvSlow        = kvFault("key-value service slow", faultproxy.Fault{Latency: 300 * time.Millisecond, Jitter: 200 * time.Millisecond})
+	kvVerySlow    = fault{desc: "key-value service very slow", lasts: 10 * time.Second, begin: kvFault("", faultproxy.Fault{Latency: 1500 * time.Millisecond, Jitter: time.Second}).begin, end: kvSlow.end}
 	plainCrash    = fault{desc: "plain service crashes after a run", begin: func(s *system) {
 		s.setFaults(s.plains[0], map[string]int{"crash_after_run_ms": 500, "times": 2})
 	}}
@@ -51,6 +55,13 @@
 	}
 }
 
+// engineFault is a fault between the daemons and one of several engines.
+func engineFault(desc string, f faultproxy.Fault) fault {
+	row := proxyFault(desc, func(s *system) *faultproxy.Proxy { return s.engines[0].proxy }, f)
+	row.spares = true
+	return row
+}
+
 // setPeers sets a fault between all daemons.
 func (s *system) setPeers(f faultproxy.Fault) {
 	for _, d := range s.daemons {
@@ -98,8 +109,8 @@
 func TestFaultTable(t *testing.T) {
 	for _, f := range []fault{
 		engineCrash, engineFreeze, engineCut, engineSilent, engineOneWay, engineSlow,
-		daemonKill, daemonFreeze, peerCut, peerOneWay, peerSilent, peersAllCut,
-		kvCut, kvSilent, kvLostReplies, kvSlow, plainCrash,
+		daemonKill, daemonFreeze, peerCut, peerOneWay, peerNoAnswer, peerSilent, peersAllCut,
+		kvCut, kvSilent, kvLostReplies, kvSlow, kvVerySlow, plainCrash,
 		pair(engineCrash, daemonKill), pair(engineSilent, peerSilent), pair(kvCut, daemonKill),
 		pair(kvLostReplies, plainCrash), pair(daemonFreeze, kvLostReplies), pair(peerOneWay, engineCrash),
 		pair(engineCrash, plainCrash), pair(daemonKill, daemonFreeze),
@@ -129,6 +140,9 @@
 	if outcomes["chat completed"] == 0 || outcomes["booking completed"] == 0 {
 		t.Errorf("nothing completed: %v", outcomes)
 	}
+	if n := outcomes["chat failed"] + outcomes["chat not_run"]; f.spares && n > 0 {
+		t.Errorf("%d chats did not complete: %v", n, outcomes)
+	}
 	s.log.check()
 }
 
--- a/test/integration/load_test.go
+++ b/test/integration/load_test.go
@@ -141,7 +141,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), loadRequestBound)
 		id := fmt.Sprintf("%s/%d", key, try)
 		l.s.log.add(checker.Event{Kind: checker.CallerSent, Request: id})
-		a := l.s.book(ctx, l.entry(rng), key, `{"tree":"`+key+`"}`)
+		a := l.s.bookAs(ctx, l.entry(rng), id, key, `{"tree":"`+key+`"}`)
 		cancel()
 		l.s.log.add(checker.Event{Kind: checker.CallerDone, Request: id, Key: key, Outcome: a.outcome})
 		l.count("booking", a.outcome)
@@ -152,14 +152,26 @@
 	}
 }
 
-// collectRuns adds the runs that the plain stand-ins counted to the log.
+// collectRuns adds the runs that the stand-ins counted to the log: by key, to find a second run, and
+// by request id, to find a run of a request whose caller was told that it did not run.
 func (l *load) collectRuns() {
 	l.s.t.Helper()
 	for _, p := range l.s.plains {
-		for key, n := range p.runs(l.s.t) {
+		runs := p.plainRuns(l.s.t)
+		for key, n := range runs.ByKey {
 			for range n {
 				l.s.log.add(checker.Event{Kind: checker.EndpointRan, Key: key, Endpoint: p.id})
 			}
 		}
+		for id := range runs.ByID {
+			l.s.log.add(checker.Event{Kind: checker.EndpointRan, Request: id, Endpoint: p.id})
+		}
+	}
+	for _, e := range l.s.engines {
+		for id, r := range e.engineRuns(l.s.t).ByID {
+			if r.Started > 0 {
+				l.s.log.add(checker.Event{Kind: checker.EndpointRan, Request: id, Endpoint: e.id})
+			}
+		}
 	}
 }
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -27,6 +27,8 @@
 	plains  int
 	// tokenTime and prefill are the engines' speed.
 	tokenTime, prefill string
+	// writeStall is the daemons' limit for a caller that accepts no bytes; 0 means the default.
+	writeStall time.Duration
 	// configure changes the configuration before it is applied.
 	configure func(*config.Config)
 }
@@ -53,14 +55,16 @@
 
 // system is a set of real processes: stand-ins of the platform and of endpoints, and daemons.
 type system struct {
-	t       *testing.T
-	dir     string
-	seed    uint64
-	kv, vms *service
-	engines []*service
-	plains  []*service
-	daemons []*daemon
-	log     *eventLog
+	t    *testing.T
+	dir  string
+	seed uint64
+	// writeStall is that of the options.
+	writeStall time.Duration
+	kv, vms    *service
+	engines    []*service
+	plains     []*service
+	daemons    []*daemon
+	log        *eventLog
 
 	// mu guards known, the daemons that callers may use; daemons belongs to the test's goroutine.
 	mu    sync.Mutex
@@ -89,7 +93,7 @@
 	if o.prefill == "" {
 		o.prefill = "5ms"
 	}
-	s := &system{t: t, dir: t.TempDir(), seed: 1, log: newEventLog(t)}
+	s := &system{t: t, dir: t.TempDir(), seed: 1, log: newEventLog(t), writeStall: o.writeStall}
 	s.kv = s.startService("kv", "standin", "kv")
 	s.vms = s.startService("vmlist", "standin", "vmlist")
 	for i := range o.engines {
@@ -152,7 +156,7 @@
 		KV:     settings.Module{Use: "kv.etcd"},
 		VMList: settings.Module{Use: "vmlist.http"},
 		// A short validity keeps graceful stops short; the order of the steps is the same.
-		Limits: settings.Limits{EntryValidity: config.Duration(entryValidity)},
+		Limits: settings.Limits{EntryValidity: config.Duration(entryValidity), WriteStall: config.Duration(s.writeStall)},
 	}
 	encode(s.t, &set.KV.With, map[string]any{"endpoints": []string{"http://" + d.kv.Addr()}})
 	encode(s.t, &set.VMList.With, map[string]any{"url": "http://" + s.vms.addr + "/vms"})
