Wait for quiet before the reply of a change is lost

Cause: the lost reply test met a write of the ledger instead of the change: daemons take partitions when they start, so the change was cut before its write and was rightly unavailable. Change: the test waits until no writes are under way. Conclusion: the check itself is unchanged.

--- a/test/integration/fault_config_test.go
+++ b/test/integration/fault_config_test.go
@@ -104,6 +104,7 @@
 	s := newSystem(t, options{daemons: 3, engines: 1})
 	s.watchRevisions()
 	for _, name := range []string{"peak", "ordinary", "peak"} {
+		s.waitQuietKV()
 		// Only the reply of the next write is lost; what follows can settle it.
 		s.postJSON("http://"+s.kv.addr+"/admin/faults", map[string]any{"writes": map[int]any{1: map[string]any{"drop": true}}})
 		change, err := s.switchPreset(s.daemons[1], name)
@@ -115,6 +116,7 @@
 	}
 	// The write takes effect, and its reply and all later reads are lost: the outcome stays unknown
 	// until the service can be reached again.
+	s.waitQuietKV()
 	s.postJSON("http://"+s.kv.addr+"/admin/faults", map[string]any{"writes": map[int]any{1: map[string]any{"after_ns": requestBound}}})
 	writes := s.kvWrites()
 	result := make(chan error, 1)
