--- a/test/capacity/events.go
+++ b/test/capacity/events.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"storj.io/drpc/drpcconn"
@@ -66,7 +67,7 @@
 // changePause lets the packets of one change end before the next.
 const changePause = 2 * time.Second
 
-// timeChanges switches between two presets and prints the time until each switch is in force.
+// timeChanges makes changes and prints the time until each is in force.
 func (f *fleet) timeChanges(ctx context.Context, n int) error {
 	var last []time.Duration
 	before, err := f.takeAll()
@@ -75,19 +76,12 @@
 	}
 	began := time.Now()
 	for i := range n {
-		preset := []string{"peak", "ordinary"}[i%2]
-		client := adminapi.Client{Base: "http://" + f.daemons[i%len(f.daemons)].admin}
 		start := time.Now()
-		var list adminapi.PresetList
-		if err := client.Get(ctx, "/admin/v1/presets", &list); err != nil {
-			return err
-		}
-		var change adminapi.Change
-		req := adminapi.SwitchRequest{Preset: preset, PresetRevision: list.Presets[slices.IndexFunc(list.Presets, func(p config.Preset) bool { return p.Name == preset })].Revision}
-		if err := client.Send(ctx, http.MethodPost, "/admin/v1/switch", req, 0, &change); err != nil {
+		revision, err := f.change(ctx, i)
+		if err != nil {
 			return err
 		}
-		times, err := f.awaitRevision(ctx, change.Revision, start)
+		times, err := f.awaitRevision(ctx, revision, start)
 		if err != nil {
 			return err
 		}
@@ -108,6 +102,25 @@
 	return nil
 }
 
+// change switches the preset or drains an endpoint, in turn on each daemon, and returns the revision.
+func (f *fleet) change(ctx context.Context, i int) (uint64, error) {
+	client := adminapi.Client{Base: "http://" + f.daemons[i%len(f.daemons)].admin}
+	var change adminapi.Change
+	if f.o.drains {
+		err := client.Send(ctx, http.MethodPost, "/admin/v1/endpoints/engine-000/drain", adminapi.DrainRequest{Drain: i%2 == 0}, 0, &change)
+		return change.Revision, err
+	}
+	var list adminapi.PresetList
+	if err := client.Get(ctx, "/admin/v1/presets", &list); err != nil {
+		return 0, err
+	}
+	name := []string{"peak", "ordinary"}[i%2]
+	k := slices.IndexFunc(list.Presets, func(p config.Preset) bool { return p.Name == name })
+	req := adminapi.SwitchRequest{Preset: name, PresetRevision: list.Presets[k].Revision}
+	err := client.Send(ctx, http.MethodPost, "/admin/v1/switch", req, 0, &change)
+	return change.Revision, err
+}
+
 // members asks a daemon for its view over the protocol between daemons.
 func (d *daemon) members(ctx context.Context) ([]*peer.Member, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
@@ -192,3 +205,59 @@
 	report(before, after, 1)
 	return nil
 }
+
+// replacePause lets the exchanges after a replacement end.
+const replacePause = 5 * time.Second
+
+// weighReplace stops the last daemon gracefully, starts it again with empty memory and prints what
+// this costs the others.
+func (f *fleet) weighReplace(ctx context.Context) error {
+	i := len(f.daemons) - 1
+	old := f.daemons[i]
+	f.daemons = f.daemons[:i]
+	before, err := f.takeAll()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	if err := old.cmd.Wait(); err != nil {
+		return err
+	}
+	old.cmd = nil
+	stopped := time.Since(began)
+	if err := f.startDaemon(i); err != nil {
+		return err
+	}
+	for {
+		if _, ok := f.daemons[i].inForce(1); ok {
+			break
+		}
+		if err := pause(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+	ready := time.Since(began)
+	if err := pause(ctx, replacePause); err != nil {
+		return err
+	}
+	joined, err := f.daemons[i].take()
+	if err != nil {
+		return err
+	}
+	all := f.daemons
+	f.daemons = all[:i]
+	after, err := f.takeAll()
+	f.daemons = all
+	if err != nil {
+		return err
+	}
+	fmt.Printf("replace: stopped after %v, configuration in force after %v, measured for %v\n", stopped.Round(time.Millisecond), ready.Round(time.Millisecond), time.Since(began).Round(time.Second))
+	fmt.Println("totals of the other daemons:")
+	report(before, after, 1)
+	fmt.Println("totals of the new daemon:")
+	report(make([]sample, 1), []sample{joined}, 1)
+	return nil
+}
--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -26,6 +26,8 @@
 	port       int
 	load       loadOptions
 	changes    int
+	drains     bool
+	replace    bool
 	kill       bool
 	status     bool
 }
@@ -50,6 +52,8 @@
 	flag.IntVar(&o.load.streams, "streams", 0, "streams that stay open during the measurement")
 	flag.Float64Var(&o.load.bookings, "bookings", 0, "non-idempotent requests a second")
 	flag.IntVar(&o.changes, "changes", 0, "configuration changes, timed after the window")
+	flag.BoolVar(&o.drains, "drains", false, "let the changes drain an endpoint instead of switching presets")
+	flag.BoolVar(&o.replace, "replace", false, "replace one daemon after the window and weigh it")
 	flag.BoolVar(&o.kill, "kill", false, "kill one daemon after the window and time its detection")
 	flag.BoolVar(&o.status, "status", false, "time and weigh one status call after the window")
 	flag.Parse()
@@ -99,6 +103,11 @@
 			return err
 		}
 	}
+	if o.replace {
+		if err := f.weighReplace(ctx); err != nil {
+			return err
+		}
+	}
 	if o.kill {
 		return f.timeKill(ctx)
 	}
