Do not count a slow caller as a silent endpoint

Cause: The limit between tokens (5 s) ran on while a token was being written to the caller. A caller that stalled for more than 5 s, well below its own limit of 30 s, ended the attempt as a timeout of the endpoint, which was then avoided, and the answer was resumed elsewhere. Ruled out: the write deadline, which ends only callers that accept nothing for 30 s.

Change: endpoint.Transfer has Pause and Continue instead of Progress; the limit runs only while the daemon waits for the endpoint. As before, only tokens restart it.

Conclusion: a slow caller costs no second prompt and no blame.

--- a/endpoint/transfer.go
+++ b/endpoint/transfer.go
@@ -79,20 +79,25 @@
 	t.cancel(errFirstToken)
 }
 
-// Progress restarts the limit between tokens.
-func (t *Transfer) Progress() {
+// Pause notes progress of the endpoint and stops the limits while the receiver takes what has arrived:
+// a slow caller says nothing about the endpoint.
+func (t *Transfer) Pause() {
 	if !t.started.Load() {
 		t.started.Store(true)
 		t.result.FirstTokenAfter = max(time.Since(t.start), 1)
 	}
-	switch {
-	case t.attempt.BetweenTokens > 0 && t.timer != nil:
-		t.timer.Reset(t.attempt.BetweenTokens)
-	case t.timer != nil:
+	if t.timer != nil {
 		t.timer.Stop()
 	}
 }
 
+// Continue starts the limit between tokens after a Pause.
+func (t *Transfer) Continue() {
+	if t.attempt.BetweenTokens > 0 && t.timer != nil {
+		t.timer.Reset(t.attempt.BetweenTokens)
+	}
+}
+
 // Token counts a delivered token.
 func (t *Transfer) Token() { t.result.Tokens++ }
 
@@ -155,11 +160,12 @@
 	}
 	buf := copyBuffers.Get().(*[copyBufferSize]byte)
 	defer copyBuffers.Put(buf)
-	t.Progress()
+	t.Pause()
 	for {
+		t.Continue()
 		n, err := t.Response.Body.Read(buf[:])
 		if n > 0 {
-			t.Progress()
+			t.Pause()
 			if sinkErr := s.Body(buf[:n]); sinkErr != nil {
 				return t.SinkFailed(sinkErr)
 			}
--- a/modules/endpoint/engine/engine.go
+++ b/modules/endpoint/engine/engine.go
@@ -119,8 +119,10 @@
 		}
 		out := endpoint.Event{Data: ev.data}
 		out.Kind, out.Text = classify(ev.data, reader.text[:0])
-		if out.Kind&endpoint.EventToken != 0 {
-			t.Progress()
+		// Only tokens restart the limit: other events do not show that the engine makes progress.
+		token := out.Kind&endpoint.EventToken != 0
+		if token {
+			t.Pause()
 			t.Token()
 			tokens++
 			out.Index = tokens
@@ -136,5 +138,8 @@
 				return t.SinkFailed(err)
 			}
 		}
+		if token {
+			t.Continue()
+		}
 	}
 }
--- a/modules/endpoint/engine/engine_test.go
+++ b/modules/endpoint/engine/engine_test.go
@@ -147,6 +147,26 @@
 	}
 }
 
+// Guards against an engine that is given up as silent because the caller takes its answer slowly.
+func TestSlowReceiver(t *testing.T) {
+	e, err := standin.Start(standin.Options{TokenTime: time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	a := attempt(e.URL(), true)
+	a.BetweenTokens = 100 * time.Millisecond
+	r := &recorder{onToken: func(index int) error {
+		if index == 3 {
+			<-time.After(3 * a.BetweenTokens)
+		}
+		return nil
+	}}
+	if got := engine.New().Do(context.Background(), a, r); !got.Complete || got.Timeout != endpoint.TimeoutNone {
+		t.Errorf("got %+v", got)
+	}
+}
+
 // Guards against load reports whose cache events are lost without a visible gap.
 func TestLoadReport(t *testing.T) {
 	e, err := standin.Start(standin.Options{})
