Keep the test proxy from delivering streams with gaps

Cause: One-way loss discarded bytes of a connection and delivered later ones when it was healed. TCP never does that. Requests whose message had fallen into the gap waited on a connection that was alive again, until their callers gave up after 40 s.

Change: after a byte of a direction was discarded, no later one of that connection passes in that direction; new connections work. This is stricter than before: the connection stays dead after the fault.

--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -54,6 +54,9 @@
 type link struct {
 	client, server net.Conn
 	silent         bool
+	// lostToServer and lostToClient say that bytes of a direction were discarded. No later ones pass
+	// then, because a TCP connection never delivers a stream with a gap.
+	lostToServer, lostToClient bool
 }
 
 // New listens on a free loopback port and forwards to target (IP:port). The seed fixes the jitter.
@@ -206,7 +209,7 @@
 // endDirection passes on an end of stream, unless the connection is silent: its peer must not see it.
 func (p *Proxy) endDirection(l *link, dst net.Conn) {
 	p.mu.Lock()
-	silent := l.silent || p.fault.DropToClient || p.fault.DropToServer
+	silent := l.silent || l.lostToServer || l.lostToClient || p.fault.DropToClient || p.fault.DropToServer
 	p.mu.Unlock()
 	if silent {
 		<-p.ctx.Done()
@@ -224,10 +227,12 @@
 		return false
 	}
 	p.mu.Lock()
-	silent := l.silent
+	l.lostToServer = l.lostToServer || f.DropToServer && toServer
+	l.lostToClient = l.lostToClient || f.DropToClient && !toServer
+	lost := l.silent || l.lostToServer && toServer || l.lostToClient && !toServer
 	p.mu.Unlock()
 	switch {
-	case silent, f.DropToServer && toServer, f.DropToClient && !toServer:
+	case lost:
 		return true
 	case f.LoseReplies && !toServer:
 		l.close()
