Read the runs of both kinds of stand-ins in one way

Change: both use readRuns. Conclusion: no change of what the tests check; the tests that use it pass.

--- a/test/integration/callers_test.go
+++ b/test/integration/callers_test.go
@@ -262,15 +262,19 @@
 	ByID  map[string]int `json:"by_id"`
 }
 
-// plainRuns reads a plain stand-in's runs. A stand-in that has crashed answers again after its
-// down time.
-func (v *service) plainRuns(t *testing.T) plainRuns {
+// plainRuns reads a plain stand-in's runs.
+func (v *service) plainRuns(t *testing.T) (runs plainRuns) {
+	t.Helper()
+	v.readRuns(t, &runs)
+	return runs
+}
+
+// readRuns reads a stand-in's runs. One that has crashed answers again after its down time.
+func (v *service) readRuns(t *testing.T, into any) {
 	t.Helper()
-	var runs plainRuns
 	eventually(t, requestBound, "runs of "+v.id, func() error {
-		return getJSON("http://"+v.addr+"/admin/runs", &runs)
+		return getJSON("http://"+v.addr+"/admin/runs", into)
 	})
-	return runs
 }
 
 // engineRun counts the attempts of one request id or prompt at an engine.
@@ -287,13 +291,10 @@
 	ByPrompt map[string]engineRun `json:"by_prompt"`
 }
 
-// engineRuns reads an engine stand-in's attempts, after its down time if it has crashed.
-func (v *service) engineRuns(t *testing.T) engineRuns {
+// engineRuns reads an engine stand-in's attempts.
+func (v *service) engineRuns(t *testing.T) (runs engineRuns) {
 	t.Helper()
-	var runs engineRuns
-	eventually(t, requestBound, "runs of "+v.id, func() error {
-		return getJSON("http://"+v.addr+"/admin/runs", &runs)
-	})
+	v.readRuns(t, &runs)
 	return runs
 }
 
