Test the retry budget and the avoided zone on the request path

Cause: The tests of package dispatch passed without the use of the retry budget and without the avoidance of the failed endpoint's availability zone.

Change: TestRetryBudget and TestRetryInAnotherZone.

--- /dev/null
+++ b/internal/dispatch/retry_test.go
@@ -0,0 +1,39 @@
+package dispatch_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/chivewind/chivewind/internal/retry"
+	enginestandin "github.com/chivewind/chivewind/internal/standin/engine"
+)
+
+// Guards against a first retry in the availability zone of the endpoint that failed, which may have
+// failed as a whole.
+func TestRetryInAnotherZone(t *testing.T) {
+	p := newPath(t, setup{})
+	p.engines[0].SetFaults(enginestandin.Faults{Status: http.StatusInternalServerError})
+	if r, body := p.post(t, "/v1/chat/completions", "", chat("zone length=3", true, "")); outcome(r) != "completed" {
+		t.Fatalf("outcome %q, body %s", outcome(r), body)
+	}
+	// The first two engines are in the same zone.
+	if last := p.scheduler.acquires[len(p.scheduler.acquires)-1]; last.AvoidZone != "asahikawa" || len(last.Avoid) != 1 {
+		t.Errorf("last Acquire avoids zone %q and endpoints %v", last.AvoidZone, last.Avoid)
+	}
+}
+
+// Guards against retries beyond the budget while all engines fail.
+func TestRetryBudget(t *testing.T) {
+	const reserve, requests = 2, 6
+	p := newPath(t, setup{retry: retry.Options{Reserve: reserve}})
+	for _, e := range p.engines {
+		e.SetFaults(enginestandin.Faults{Status: http.StatusInternalServerError})
+	}
+	for i := range requests {
+		p.post(t, "/v1/chat/completions", "", chat("storm "+strconv.Itoa(i), true, ""))
+	}
+	if n := len(p.scheduler.outcomes()); n != requests+reserve {
+		t.Errorf("%d attempts of %d requests, want %d retries", n, requests, reserve)
+	}
+}
