--- a/test/integration/fault_once_test.go
+++ b/test/integration/fault_once_test.go
@@ -69,8 +69,9 @@
 	const key = "late-write"
 	const held = 22 * time.Second
 	role := fmt.Sprintf("lease/ledger-%02d", ledger.PartitionOf(ledger.Key("show", "/bookings/", key)))
-	owner, others := s.roleHolder(role)
+	// Partitions change hands while the daemons find each other; only then is the holder the owner.
 	s.waitQuietKV()
+	owner, others := s.roleHolder(role)
 	s.postJSON("http://"+s.kv.addr+"/admin/faults", map[string]any{"writes": map[int]any{1: map[string]any{"before_ns": held}}})
 	writes := s.kvWrites()
 	begun := time.Now()
