Drop the oldest idle connection when a pool is full

Cause: ledger calls use only connections that were idle for less than 1 s, and older ones stay in the pool for 30 s. Once four old ones filled the pool of a peer, each fresh connection was closed after its call, so that nearly every ledger call dialled. Ruled out: cancelled contexts that close a connection after its call; status calls, which may use old connections, do not dial again.

Change: put closes the oldest idle connection instead of the one that was just used.

Conclusion: the new test fails without the change.

--- a/internal/peerconn/peerconn_test.go
+++ b/internal/peerconn/peerconn_test.go
@@ -171,6 +171,35 @@
 	})
 }
 
+// TestFullPool guards against old connections that fill the pool, so that a fresh one is closed after
+// each call and each ledger call dials.
+func TestFullPool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := clustertest.NewNetwork()
+		var calls atomic.Int64
+		s := startServer(t, n, &calls, 0)
+		p := NewPool(Config{Dial: n.Dialer(clientAddress)})
+		ledger := func() {
+			if _, err := clientOf(t, p).Ledger(t.Context(), &peer.LedgerRequest{}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for range DefaultMaxIdle {
+			ledger()
+			time.Sleep(2 * freshIdle)
+		}
+		before := p.count.dials.Count()
+		for range 3 {
+			ledger()
+		}
+		if dials := p.count.dials.Count() - before; dials != 1 {
+			t.Errorf("%d connections for three calls at once, want 1", dials)
+		}
+		_ = p.Close()
+		_ = s.Stop(context.Background())
+	})
+}
+
 // certificate returns a certificate for 127.0.0.1 that is its own authority.
 func certificate(t *testing.T) (tls.Certificate, *x509.Certificate) {
 	t.Helper()
--- a/internal/peerconn/pool.go
+++ b/internal/peerconn/pool.go
@@ -152,11 +152,18 @@
 func (p *Pool) put(address string, c *drpcconn.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || isClosed(c) || len(p.idle[address]) >= p.cfg.MaxIdle {
+	if p.closed || isClosed(c) {
 		go func() { _ = c.Close() }()
 		return
 	}
-	p.idle[address] = append(p.idle[address], &idleConn{Conn: c, since: p.now()})
+	list := p.idle[address]
+	if len(list) >= p.cfg.MaxIdle {
+		// The oldest goes: calls that must not be repeated use only fresh connections.
+		oldest := list[0]
+		list = list[1:]
+		go func() { _ = oldest.Close() }()
+	}
+	p.idle[address] = append(list, &idleConn{Conn: c, since: p.now()})
 	if p.sweep == nil {
 		p.sweep = time.AfterFunc(p.cfg.IdleTimeout, p.closeIdle)
 	}
