Introduce daemons to a restarted one that knows nobody

Cause: TestFaultTable/daemon_killed_and_replaced took 12 to 41 s against a bound of 30 s. The restarted daemon has no join addresses and took itself for the owner of all partitions until a full exchange. Ruled out: the lease time (10 s); with a join address added the row took 11 s. Change: a packet whose incarnation is ahead by 500 or more shows a new process; the receiver then sends it its own record.

--- a/internal/membership/swim/merge.go
+++ b/internal/membership/swim/merge.go
@@ -98,6 +98,7 @@
 // change moves a member to a new record and spreads it.
 func (s *State) change(now time.Duration, m *member, next *peer.Member) {
 	previous := m.info.State
+	restarted := next.State == alive && next.Incarnation >= m.info.Incarnation+restartJump
 	m.info = next
 	m.since = now
 	if m.reachable() {
@@ -116,6 +117,30 @@
 	}
 	s.generation++
 	s.enqueue(next.Id)
+	if restarted {
+		s.introduce(next)
+	}
+}
+
+// restartJump is the least rise of an incarnation that shows a new process: a process begins with the
+// wall clock in milliseconds, and a refutation adds 1.
+const restartJump = 500
+
+// observe notes from any packet that its sender is a new process. The new process may know nobody, so
+// that its own record would not be spread.
+func (s *State) observe(now time.Duration, p *peer.Packet) {
+	m, ok := s.members[p.From]
+	if !ok || p.Incarnation < m.info.Incarnation+restartJump {
+		return
+	}
+	s.change(now, m, withState(m.info, alive, p.Incarnation))
+}
+
+// introduce sends this daemon's record to a member whose process is new and may know nobody. Without
+// it a daemon that was restarted without join addresses took itself for the only one, and for the
+// owner of everything, until the next full exchange after up to 30 s.
+func (s *State) introduce(m *peer.Member) {
+	s.send(m.GossipAddress, m.Id, &peer.Packet{Kind: peer.Packet_KIND_PING, Updates: []*peer.Member{s.self}})
 }
 
 // suspect records that a member did not answer any probe.
--- a/internal/membership/swim/probe.go
+++ b/internal/membership/swim/probe.go
@@ -119,6 +119,7 @@
 	if p.From == s.self.Id || p.From == "" {
 		return
 	}
+	s.observe(now, p)
 	s.merge(now, p.Updates, true)
 	switch p.Kind {
 	case peer.Packet_KIND_PING:
--- a/internal/membership/swim_test.go
+++ b/internal/membership/swim_test.go
@@ -54,6 +54,10 @@
 		for _, id := range ids(d) {
 			s.restart(s.node(id))
 		}
+	case "restart-alone":
+		for _, id := range ids(d) {
+			s.restartAlone(s.node(id))
+		}
 	case "pause":
 		s.node(ids(d)[0]).paused = true
 	case "resume":
@@ -121,10 +125,15 @@
 	return fmt.Sprintf("after %s\n", s.now-start)
 }
 
-// restart starts a daemon again under the same id; it joins through another one.
-func (s *sim) restart(node *simNode) {
+// restartAlone starts a new process that knows no other daemon.
+func (s *sim) restartAlone(node *simNode) {
 	node.self.Incarnation += 1000
 	s.start(node, node.self.Incarnation)
+}
+
+// restart starts a daemon again under the same id; it joins through another one.
+func (s *sim) restart(node *simNode) {
+	s.restartAlone(node)
 	for _, other := range s.nodes {
 		if other != node && !other.down {
 			node.state.Merge(s.now, other.state.All())
