Run the integration tests again when the program changes

Cause: the test cache kept the result of the integration tests, since they build the program and do not import it. Change: the test package imports the command line and the modules.

--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -11,6 +11,11 @@
 	"syscall"
 	"testing"
 	"time"
+
+	// The tests build the program, which the test cache does not see. These imports make the cached
+	// result depend on the program's packages.
+	_ "github.com/chivewind/chivewind/cli"
+	_ "github.com/chivewind/chivewind/modules/standard"
 )
 
 // binary is the path of the program under test; TestMain builds it once.
