--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,7 +184,35 @@
 	case <-force.Done():
 		return force.Err()
 	}
-	return n.front.Drain(force)
+	if err := n.front.Drain(force); err != nil {
+		return err
+	}
+	return n.waitDispatched(force)
+}
+
+const (
+	// dispatchedPoll is the time between looks at the dispatcher while it ends its background work.
+	dispatchedPoll = 50 * time.Millisecond
+	// dispatchedLimit bounds the wait for it. After an outage of the key-value service that lasts
+	// longer, the records stay intents, which operators can settle.
+	dispatchedLimit = 30 * time.Second
+)
+
+// waitDispatched waits until the dispatcher has recorded the outcomes of its requests in the ledger.
+func (n *Node) waitDispatched(force context.Context) error {
+	limit := time.Now().Add(dispatchedLimit)
+	for n.dispatcher.Running() > 0 {
+		if time.Now().After(limit) {
+			n.log.Warn("outcomes of requests are not recorded", "requests", n.dispatcher.Running())
+			return nil
+		}
+		select {
+		case <-time.After(dispatchedPoll):
+		case <-force.Done():
+			return force.Err()
+		}
+	}
+	return nil
 }
 
 // close ends all parts. Requests that arrive now are refused by the closed listener.
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"strings"
 	"syscall"
 	"time"
 
@@ -10,32 +11,47 @@
 	"github.com/samber/oops"
 
 	"github.com/chivewind/chivewind/adminapi"
+	"github.com/chivewind/chivewind/internal/configstore"
 	"github.com/chivewind/chivewind/internal/ledger"
 	"github.com/chivewind/chivewind/peer"
 )
 
 // Settle records an operator's decision on a non-idempotent request with the outcome unknown. The
 // record keeps the operator's name.
-func (n *Node) Settle(ctx context.Context, operator string, req adminapi.SettleRequest) error {
+func (n *Node) Settle(ctx context.Context, who configstore.Actor, req adminapi.SettleRequest) error {
 	state := peer.LedgerRecord_STATE_NOT_RUN
 	if req.Ran {
 		state = peer.LedgerRecord_STATE_DONE
 	}
 	key := ledger.Key(req.Workspace, req.Route, req.IdempotencyKey)
-	reply, err := n.ledger.Do(ctx, &peer.LedgerRequest{
-		Action: peer.LedgerRequest_ACTION_SETTLE, Partition: ledger.PartitionOf(key), Key: key, MemberId: n.settings.ID,
-		Record: &peer.LedgerRecord{State: state, SettledBy: operator, FinishedUnixMs: time.Now().UnixMilli()},
-	})
+	reply, err := n.ledger.Settle(ctx, who.Name, who.Address, key, &peer.LedgerRecord{State: state, FinishedUnixMs: time.Now().UnixMilli()})
 	if err != nil {
 		return oops.With("step", "settle").Wrap(err)
 	}
 	if reply.Result != peer.LedgerReply_RESULT_DONE {
 		return oops.With("step", "settle").Errorf("the record was not changed: %s", unsettled(reply.Result))
 	}
-	n.log.Info("request settled", "operator", operator, "workspace", req.Workspace, "route", req.Route, "ran", req.Ran)
+	n.log.Info("request settled", "operator", who.Name, "workspace", req.Workspace, "route", req.Route, "ran", req.Ran)
 	return nil
 }
 
+// Settlements returns the audit entries of settled requests.
+func (n *Node) Settlements(ctx context.Context, limit int) ([]adminapi.AuditEntry, error) {
+	settlements, err := n.ledger.Settlements(ctx, limit)
+	if err != nil {
+		return nil, err
+	}
+	entries := make([]adminapi.AuditEntry, 0, len(settlements))
+	for _, s := range settlements {
+		operator, source, _ := strings.Cut(s.Operator, " from ")
+		entries = append(entries, adminapi.AuditEntry{
+			Time: s.Time, Operator: operator, Source: source, Action: "settle", Outcome: string(configstore.Accepted),
+			AttemptID: s.RequestID, From: s.From, To: s.To, Message: "ledger key " + s.Key,
+		})
+	}
+	return entries, nil
+}
+
 // unsettled says why a record was not settled.
 func unsettled(r peer.LedgerReply_Result) string {
 	switch r {
--- a/modules/admin/admin.go
+++ b/modules/admin/admin.go
@@ -35,7 +35,9 @@
 
 // Settler records an operator's decision on a non-idempotent request with the outcome unknown.
 type Settler interface {
-	Settle(ctx context.Context, operator string, req adminapi.SettleRequest) error
+	Settle(ctx context.Context, who configstore.Actor, req adminapi.SettleRequest) error
+	// Settlements returns the audit entries of such decisions, the newest first.
+	Settlements(ctx context.Context, limit int) ([]adminapi.AuditEntry, error)
 }
 
 // Options has what the API needs.
--- a/modules/admin/changes.go
+++ b/modules/admin/changes.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -114,7 +115,7 @@
 		writeError(w, http.StatusServiceUnavailable, &adminapi.Error{Code: adminapi.CodeUnavailable, Message: "this daemon has no ledger"})
 		return
 	}
-	if err := s.settler.Settle(r.Context(), actor(r).Name, req); err != nil {
+	if err := s.settler.Settle(r.Context(), actor(r), req); err != nil {
 		writeError(w, http.StatusConflict, &adminapi.Error{Code: adminapi.CodeInvalid, Message: err.Error()})
 		return
 	}
@@ -135,19 +136,38 @@
 	writeJSON(w, http.StatusOK, adminapi.Attempt{AttemptID: result.Attempt, Outcome: string(result.Outcome), Revision: result.Revision})
 }
 
+// getAudit merges the changes of the configuration and the settled requests.
 func (s *Server) getAudit(w http.ResponseWriter, r *http.Request) {
-	entries, err := s.store.Audit(r.Context(), auditLimit)
+	trail, err := s.auditTrail(r.Context())
 	if err != nil {
 		writeError(w, http.StatusServiceUnavailable, &adminapi.Error{Code: adminapi.CodeUnavailable, Message: err.Error()})
 		return
 	}
-	trail := adminapi.Audit{Entries: []adminapi.AuditEntry{}}
+	if want := r.URL.Query().Get("outcome"); want != "" {
+		trail = slices.DeleteFunc(trail, func(e adminapi.AuditEntry) bool { return e.Outcome != want })
+	}
+	writeJSON(w, http.StatusOK, adminapi.Audit{Entries: trail})
+}
+
+func (s *Server) auditTrail(ctx context.Context) ([]adminapi.AuditEntry, error) {
+	entries, err := s.store.Audit(ctx, auditLimit)
+	if err != nil {
+		return nil, err
+	}
+	trail := []adminapi.AuditEntry{}
 	for _, e := range entries {
-		if want := r.URL.Query().Get("outcome"); want == "" || want == string(e.Outcome) {
-			trail.Entries = append(trail.Entries, auditEntry(e))
-		}
+		trail = append(trail, auditEntry(e))
+	}
+	if s.settler == nil {
+		return trail, nil
+	}
+	settlements, err := s.settler.Settlements(ctx, auditLimit)
+	if err != nil {
+		return nil, err
 	}
-	writeJSON(w, http.StatusOK, trail)
+	trail = append(trail, settlements...)
+	slices.SortStableFunc(trail, func(a, b adminapi.AuditEntry) int { return b.Time.Compare(a.Time) })
+	return trail, nil
 }
 
 func auditEntry(e configstore.Entry) adminapi.AuditEntry {
--- a/modules/policy/tiered/settings.go
+++ b/modules/policy/tiered/settings.go
@@ -47,7 +47,7 @@
 	Off Switches `yaml:"off"`
 }
 
-// Switches turn off mechanisms one by one. All are on by default.
+// Switches turn off mechanisms one by one. All but preemption are on by default.
 type Switches struct {
 	// Tiers: all classes form one tier.
 	Tiers bool `yaml:"tiers"`
@@ -71,7 +71,8 @@
 	Zones bool `yaml:"zones"`
 	// Health: no endpoint is ejected.
 	Health bool `yaml:"health"`
-	// Preemption: no running request is preempted.
+	// Preemption: no running request is preempted. Off by default: in the bench it saved no target
+	// and cost 1.0% to 1.7% of the computed tokens in a burst.
 	Preemption bool `yaml:"preemption"`
 }
 
@@ -92,6 +93,7 @@
 		PreemptLead:    200 * time.Millisecond,
 		PreemptMinRest: time.Second,
 		NoEndpointWait: time.Second,
+		Off:            Switches{Preemption: true},
 	}
 }
 
--- a/test/integration/fault_once_test.go
+++ b/test/integration/fault_once_test.go
@@ -50,6 +50,13 @@
 	}
 	wait(time.Until(begun.Add(settleAge)))
 	eventually(t, requestBound, "settle", settle)
+	var trail adminapi.Audit
+	if err := s.cli(s.daemons[2], &trail, "audit"); err != nil {
+		t.Fatal(err)
+	}
+	if len(trail.Entries) == 0 || trail.Entries[0].Action != "settle" || trail.Entries[0].Operator != "anonymous" {
+		t.Errorf("the newest audit entry is not the settlement: %+v", trail.Entries)
+	}
 	for _, d := range s.daemons[1:] {
 		a := s.book(withTimeout(t, requestBound), d, key, "{}")
 		if a.outcome != checker.Completed {
