Measure one scheduler per shard against every daemon for itself

Change: bench.Independent is a fleet of policies that see all endpoints and reports but only their own requests; -independent N adds it to the benchmark.

--- a/internal/bench/policies_test.go
+++ b/internal/bench/policies_test.go
@@ -13,6 +13,7 @@
 	seedsFlag    = flag.Int("seeds", 10, "number of seeds of BenchmarkPolicies")
 	policiesFlag = flag.String("policies", "", "comma-separated policies of BenchmarkPolicies; empty means all")
 	withoutFlag  = flag.String("without", "", "comma-separated mechanisms that variants of the tiered policy turn off")
+	daemonsFlag  = flag.Int("independent", 0, "number of daemons of a variant in which each schedules for itself; 0 for none")
 	lineFlag     = flag.Bool("line", false, "print results of BenchmarkPolicies as one JSON line each")
 )
 
@@ -29,6 +30,12 @@
 			b.Fatal(err)
 		}
 	}
+	if *daemonsFlag > 0 {
+		var err error
+		if o.Ablation, err = Independent("policy.tiered", *daemonsFlag); err != nil {
+			b.Fatal(err)
+		}
+	}
 	for _, deployment := range Deployments() {
 		for _, sc := range Scenarios() {
 			b.Run(deployment+"/"+sc.Name, func(b *testing.B) {
