Measure the latency of the request path at 1,000 requests a second

Cause: the aim for the 99th percentile had no measurement. Change: BenchmarkPacedLatency starts streams at a steady rate. Two names in the dispatcher and the scheduler say what they are.

--- /dev/null
+++ b/internal/dispatch/paced_test.go
@@ -0,0 +1,43 @@
+package dispatch_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// pacedRate is the rate of BenchmarkPacedLatency in requests per second.
+const pacedRate = 1000
+
+// BenchmarkPacedLatency measures the time of streams of one token that arrive at a steady rate,
+// whether earlier ones have ended or not, directly at the engines and through the path. Time that a
+// request starts late counts. Run it with -benchtime 5000x.
+func BenchmarkPacedLatency(b *testing.B) {
+	p := newPath(b, setup{})
+	body := chat("hello length=1", true, "")
+	for _, target := range []struct{ desc, url string }{{"direct", p.engines[0].URL()}, {"path", p.url}} {
+		b.Run(target.desc, func(b *testing.B) {
+			c := benchClient()
+			var mu sync.Mutex
+			times := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+			var running sync.WaitGroup
+			start := time.Now()
+			for i := range b.N {
+				due := start.Add(time.Duration(i) * time.Second / pacedRate)
+				time.Sleep(time.Until(due))
+				running.Go(func() {
+					benchPost(b, c, target.url+"/v1/chat/completions", body)
+					took := time.Since(due)
+					mu.Lock()
+					defer mu.Unlock()
+					_ = times.RecordValue(took.Microseconds())
+				})
+			}
+			running.Wait()
+			b.ReportMetric(float64(times.ValueAtQuantile(50)), "p50-us")
+			b.ReportMetric(float64(times.ValueAtQuantile(99)), "p99-us")
+		})
+	}
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -113,12 +113,12 @@
 		if r.prepare != nil {
 			var v *verdict
 			if sendCtx, v = r.prepare(ctx); v != nil {
-				giveBack(slot)
+				releaseUnused(slot)
 				return *v
 			}
 		}
 		if late(time.Now(), slot.StartBy()) {
-			giveBack(slot)
+			releaseUnused(slot)
 			if r.lateGrants++; r.lateGrants > maxLateGrants {
 				return verdict{err: overloaded("no endpoint could be reached in time", time.Second)}
 			}
@@ -131,8 +131,8 @@
 	}
 }
 
-// giveBack returns a slot that was not used. That nothing was sent says nothing about the endpoint.
-func giveBack(slot Slot) { slot.Finish(peer.Outcome_OUTCOME_CANCELED, 0, 0, 0) }
+// releaseUnused returns a slot that was not used. That nothing was sent says nothing about the endpoint.
+func releaseUnused(slot Slot) { slot.Finish(peer.Outcome_OUTCOME_CANCELED, 0, 0, 0) }
 
 // late says that the time to start an attempt has passed. The wall clock is checked too, because the
 // monotonic one may stand still while the VM is suspended.
@@ -152,7 +152,7 @@
 		r.relay.restart(r.rework)
 		return e, true
 	}
-	giveBack(slot)
+	releaseUnused(slot)
 	r.avoid = append(r.avoid, slot.Endpoint())
 	return e, false
 }
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// close gives up the shard: all entry daemons are told to register elsewhere.
+// close gives up the shard: all entry daemons are notified to register elsewhere.
 func (h *shard) close() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -99,10 +99,10 @@
 	if h.timer != nil {
 		h.timer.Stop()
 	}
-	told := map[*session]bool{}
+	notified := map[*session]bool{}
 	for _, e := range h.entries {
-		if !told[e.session] {
-			told[e.session] = true
+		if !notified[e.session] {
+			notified[e.session] = true
 			e.session.moved(h.id, nil)
 		}
 	}
