Keep inputs of failed property tests apart from the rule tables

Cause: a failed rapid test leaves a file in testdata that TestRules read as a table; the node logged a new configuration a second time. Conclusion: TestRules reads the same tables as before.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -205,7 +205,6 @@
 	n.scheduler.SetSnapshot(s)
 	n.client.SetSnapshot(s)
 	n.applyLeaving()
-	n.log.Info("configuration in force", "revision", s.Revision, "preset", s.Config.Preset)
 }
 
 func (n *Node) applyLeaving() {
--- a/modules/policy/tiered/rules_test.go
+++ b/modules/policy/tiered/rules_test.go
@@ -252,6 +252,10 @@
 // rule was kept.
 func TestRules(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		if strings.Contains(path, "rapid") {
+			// A failed property test leaves its input here; it is no table.
+			return
+		}
 		s := &shard{t: t}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			s.t = t
