Compare reported revisions only when their order is known

The trace shows that the daemon did not revert: its log has revision 1 until 05:09:46.178 (frozen), 5 in force at 05:09:46.181, and none later. Two observers asked it around that moment and logged their answers in the other order. Ruled out: an older head of the emptied key-value service, which came at 05:09:48 and was kept out. Change: a report carries the time at which it was asked for. The checker calls a lower revision reverted when a higher one was complete before that time. Two new logs in the checker's test: overlapping answers are no violation, a report asked for later is one. Conclusion: the check is as strict for reports whose order is known; the order of overlapping ones cannot be known.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -47,6 +47,8 @@
 type Event struct {
 	At   time.Duration `json:"at"`
 	Kind Kind          `json:"kind"`
+	// Since is when the observer asked; At is when it had the answer. Only RevisionSeen has it.
+	Since time.Duration `json:"since,omitempty"`
 	// Request is the caller's own number of the request; it reaches the endpoint in the body.
 	Request string `json:"request,omitempty"`
 	// Key is the idempotency key of a non-idempotent request. Resends have the same key.
@@ -181,17 +183,25 @@
 	return out
 }
 
+// checkReverted compares each report with those that were complete before it was asked for. Two
+// reports that overlap say nothing about their order, since several observers ask the same daemon.
 func checkReverted(events []Event, _ Bounds) []Violation {
-	highest := map[string]uint64{}
+	seen := map[string][]Event{}
 	var out []Violation
 	for _, e := range events {
 		if e.Kind != RevisionSeen {
 			continue
 		}
-		if e.Revision < highest[e.Daemon] {
-			out = append(out, Violation{RuleReverted, e.Daemon, fmt.Sprintf("revision %d after %d", e.Revision, highest[e.Daemon])})
+		var highest uint64
+		for _, earlier := range seen[e.Daemon] {
+			if earlier.At < e.Since {
+				highest = max(highest, earlier.Revision)
+			}
+		}
+		if e.Revision < highest {
+			out = append(out, Violation{RuleReverted, e.Daemon, fmt.Sprintf("revision %d after %d", e.Revision, highest)})
 		}
-		highest[e.Daemon] = max(highest[e.Daemon], e.Revision)
+		seen[e.Daemon] = append(seen[e.Daemon], e)
 	}
 	return out
 }
--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -16,7 +16,7 @@
 		return Event{At: at, Kind: EndpointRan, Request: "r1", Key: "k1", Endpoint: endpoint}
 	}
 	seen := func(at time.Duration, rev uint64) Event {
-		return Event{At: at, Kind: RevisionSeen, Daemon: "d1", Revision: rev}
+		return Event{At: at, Since: at, Kind: RevisionSeen, Daemon: "d1", Revision: rev}
 	}
 	for _, tc := range []struct {
 		desc   string
@@ -33,6 +33,14 @@
 		{desc: "cut but said so", events: []Event{sent, done(Failed, "ab", "abc")}},
 		{desc: "false not run", events: []Event{sent, ran(0, "e1"), done(NotRun, "", "abc")}, want: []Rule{RuleNotRun}},
 		{desc: "reverted", events: []Event{seen(0, 2), seen(1, 1)}, want: []Rule{RuleReverted}},
+		{desc: "reverted under observers that overlap", events: []Event{
+			{At: 4, Since: 1, Kind: RevisionSeen, Daemon: "d1", Revision: 2},
+			{At: 9, Since: 5, Kind: RevisionSeen, Daemon: "d1", Revision: 1},
+		}, want: []Rule{RuleReverted}},
+		{desc: "answers that overlap", events: []Event{
+			{At: 4, Since: 1, Kind: RevisionSeen, Daemon: "d1", Revision: 2},
+			{At: 5, Since: 2, Kind: RevisionSeen, Daemon: "d1", Revision: 1},
+		}},
 		{desc: "late configuration", events: []Event{{Kind: ChangeAccepted, Revision: 2}, seen(11*time.Second, 1)}, want: []Rule{RuleStale}},
 		{desc: "configuration within the bound", events: []Event{{Kind: ChangeAccepted, Revision: 2}, seen(9*time.Second, 1), seen(11*time.Second, 2)}},
 		{desc: "tier", events: []Event{{Kind: RequestShed, Request: "r2", Tier: 1, LowestWaiting: 3}}, want: []Rule{RuleTier}},
--- a/test/integration/callers_test.go
+++ b/test/integration/callers_test.go
@@ -35,8 +35,9 @@
 	l.events = append(l.events, e)
 }
 
-func (l *eventLog) revision(daemon string, revision uint64) {
-	l.add(checker.Event{Kind: checker.RevisionSeen, Daemon: daemon, Revision: revision})
+// revision logs the revision that a daemon answered to a question that was asked at a time.
+func (l *eventLog) revision(daemon string, asked time.Time, revision uint64) {
+	l.add(checker.Event{Kind: checker.RevisionSeen, Daemon: daemon, Since: asked.Sub(l.start), Revision: revision})
 }
 
 // check fails the test for each violation in the log.
--- a/test/integration/fault_config_test.go
+++ b/test/integration/fault_config_test.go
@@ -27,8 +27,9 @@
 			for ctx.Err() == nil {
 				call, done := context.WithTimeout(ctx, time.Second)
 				var got adminapi.Config
+				asked := time.Now()
 				if d.adminClient().Get(call, "/admin/v1/config", &got) == nil {
-					s.log.revision(d.id, got.Revision)
+					s.log.revision(d.id, asked, got.Revision)
 				}
 				done()
 				select {
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -304,10 +304,11 @@
 		c := adminapi.Client{Base: "http://" + d.admin}
 		eventually(s.t, configBound, fmt.Sprintf("revision %d in force on %s", revision, d.id), func() error {
 			var got adminapi.Config
+			asked := time.Now()
 			if err := c.Get(withTimeout(s.t, time.Second), "/admin/v1/config", &got); err != nil {
 				return err
 			}
-			s.log.revision(d.id, got.Revision)
+			s.log.revision(d.id, asked, got.Revision)
 			if got.Revision < revision {
 				return fmt.Errorf("revision %d", got.Revision)
 			}
