Audit changes that a role does not allow, and count present suspects

Cause: a change refused for want of a role was only logged, although the audit trail holds refused changes; no metric showed the present poison suspects. Change: an authenticated operator's denied change becomes an audit entry with the outcome denied; callers without a known key are only counted and logged, so that they cannot write to the key-value service. Gauge chivewind_dispatch_suspects. Conclusion: TestRoles has eight cases of keys, roles and calls; tests of admin, dispatch and configstore pass with -race.

--- a/internal/configstore/change.go
+++ b/internal/configstore/change.go
@@ -34,6 +34,8 @@
 	Invalid Outcome = "invalid"
 	// Rejected changes certainly had no effect, because the key-value service did not take them.
 	Rejected Outcome = "rejected"
+	// Denied changes were not tried, because the operator's role does not allow them.
+	Denied Outcome = "denied"
 	// Unknown changes may still turn out accepted or rejected; Attempt tells.
 	Unknown Outcome = "unknown"
 )
@@ -168,6 +170,15 @@
 	return r
 }
 
+// AuditDenied records a change that an authenticated operator's role does not allow.
+func (s *Store) AuditDenied(ctx context.Context, who Actor, action, reason string) {
+	s.counters.refused.Inc(1)
+	s.audit(context.WithoutCancel(ctx), Entry{
+		Time: time.Now().UTC(), Operator: who.Name, Address: who.Address, Action: action,
+		Attempt: newAttempt(), Outcome: Denied, Reason: reason,
+	})
+}
+
 // try writes the change. A transaction that certainly failed because of another writer is made anew.
 func (s *Store) try(ctx context.Context, e *Entry, build builder) Result {
 	for range changeTries {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -88,6 +88,7 @@
 	}
 	d := &Dispatcher{o: o, budget: retry.NewBudget(o.Retry), telemetry: telemetry.New(o.Metrics)}
 	d.suspects.table = poison.New(0)
+	d.suspects.known = metrics.GetOrRegisterGauge("dispatch.suspects", o.Metrics)
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("dispatch."+name, o.Metrics) }
 	d.counters = counters{
 		requests: counter("requests"), retries: counter("retries"), resumes: counter("resumes"),
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/chivewind/chivewind/internal/poison"
 	"github.com/chivewind/chivewind/peer"
 )
@@ -16,6 +18,8 @@
 type suspects struct {
 	mu    sync.Mutex
 	table *poison.Table
+	// known is the number of entries.
+	known metrics.Gauge
 }
 
 func (s *suspects) crashes(f poison.Fingerprint) int {
@@ -27,6 +31,7 @@
 func (s *suspects) apply(p *peer.Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer func() { s.known.Update(int64(s.table.Len())) }()
 	if p.Cleared {
 		s.table.Clear(poison.Fingerprint(p.Fingerprint))
 		return
--- a/modules/admin/admin.go
+++ b/modules/admin/admin.go
@@ -29,6 +29,8 @@
 	SwitchPreset(ctx context.Context, who configstore.Actor, preset string, seen uint64) configstore.Result
 	Attempt(ctx context.Context, attempt string) (configstore.Result, error)
 	Audit(ctx context.Context, limit int) ([]configstore.Entry, error)
+	// AuditDenied records a change that the operator's role does not allow.
+	AuditDenied(ctx context.Context, who configstore.Actor, action, reason string)
 }
 
 var _ Store = (*configstore.Store)(nil)
--- a/modules/admin/auth.go
+++ b/modules/admin/auth.go
@@ -50,7 +50,11 @@
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, message string) {
 	s.refused.Inc(1)
 	if r.Method != http.MethodGet {
-		s.auditRefused(r, message)
+		s.logRefused(r, message)
+	}
+	// A caller without a known key cannot write to the key-value service.
+	if who := actor(r); r.Method != http.MethodGet && who.Name != "" {
+		s.store.AuditDenied(r.Context(), who, r.Method+" "+r.URL.Path, message)
 	}
 	writeError(w, status, &adminapi.Error{Code: adminapi.CodeForbidden, Message: message})
 }
--- /dev/null
+++ b/modules/admin/auth_test.go
@@ -0,0 +1,77 @@
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/internal/configstore"
+)
+
+// authStore has operators and notes which changes were denied.
+type authStore struct {
+	Store
+	operators []config.Operator
+	denied    []string
+}
+
+// Snapshot implements Store.
+func (s *authStore) Snapshot() *config.Snapshot {
+	return &config.Snapshot{Revision: 1, Config: &config.Config{Operators: s.operators}}
+}
+
+// AuditDenied implements Store.
+func (s *authStore) AuditDenied(_ context.Context, who configstore.Actor, _, _ string) {
+	s.denied = append(s.denied, who.Name)
+}
+
+// TestRoles guards against operators who can do more than their role says, against a change that is
+// denied without an audit entry, and against callers without a key who fill the audit trail.
+func TestRoles(t *testing.T) {
+	hash := func(key string) string {
+		sum := sha256.Sum256([]byte(key))
+		return hex.EncodeToString(sum[:])
+	}
+	store := &authStore{operators: []config.Operator{
+		{Name: "reader", KeyHash: hash("r"), Role: config.RoleRead},
+		{Name: "switcher", KeyHash: hash("s"), Role: config.RoleSwitch},
+		{Name: "editor", KeyHash: hash("e"), Role: config.RoleEdit},
+	}}
+	s := New(Options{Store: store, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
+	for _, tc := range []struct {
+		desc, key, method, path string
+		status                  int
+		denied                  string
+	}{
+		{"no key reads", "", http.MethodGet, "/admin/v1/config", http.StatusUnauthorized, ""},
+		{"no key switches", "", http.MethodPost, "/admin/v1/switch", http.StatusUnauthorized, ""},
+		{"unknown key edits", "x", http.MethodPut, "/admin/v1/config", http.StatusUnauthorized, ""},
+		{"reader reads", "r", http.MethodGet, "/admin/v1/config", http.StatusOK, ""},
+		{"reader switches", "r", http.MethodPost, "/admin/v1/switch", http.StatusForbidden, "reader"},
+		// An empty body is refused after the role was checked.
+		{"switcher switches", "s", http.MethodPost, "/admin/v1/switch", http.StatusBadRequest, ""},
+		{"switcher edits", "s", http.MethodPut, "/admin/v1/config", http.StatusForbidden, "switcher"},
+		{"editor edits", "e", http.MethodPut, "/admin/v1/config", http.StatusBadRequest, ""},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			store.denied = nil
+			r := httptest.NewRequest(tc.method, tc.path, nil)
+			r.Header.Set("Authorization", "Bearer "+tc.key)
+			w := httptest.NewRecorder()
+			s.Handler().ServeHTTP(w, r)
+			if w.Code != tc.status {
+				t.Errorf("status %d, want %d: %s", w.Code, tc.status, w.Body)
+			}
+			if got := len(store.denied) > 0; got != (tc.denied != "") || got && store.denied[0] != tc.denied {
+				t.Errorf("denied %v, want %q", store.denied, tc.denied)
+			}
+		})
+	}
+}
--- a/modules/admin/changes.go
+++ b/modules/admin/changes.go
@@ -181,9 +181,8 @@
 	return out
 }
 
-// auditRefused logs a change that the operator's role does not allow. It does not reach the
-// configuration store, so that callers without a key cannot write to the key-value service.
-func (s *Server) auditRefused(r *http.Request, message string) {
+// logRefused logs a change that was refused for want of a key or role.
+func (s *Server) logRefused(r *http.Request, message string) {
 	s.log.Warn("administration call refused", "method", r.Method, "path", r.URL.Path, "source", r.RemoteAddr, "reason", message)
 }
 
