Serve callers on the prepared platform with an entry daemon

Cause: the target VMs run nothing but entry daemons; the store, the registry of endpoints and the callers speak the platform's own HTTP forms.

Change: platform/managed translates names, formats and calls; package traffic has the types; internal/fleet follows the store and tells the other daemons; internal/placement chooses endpoints by unread tokens, cached parts and lanes; internal/upstream and internal/entry forward requests; deploy/ has the templates.

Ruled out: net/http's client towards endpoints, because it cannot skip an answer of an earlier request.

--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/chivewind/chivewind/traffic"
+)
+
+// request is one attempt of a caller on its way through the daemon.
+type request struct {
+	caller    Caller
+	route     *traffic.Route
+	workspace traffic.Workspace
+	tier      int
+	pool      traffic.Pool
+	version   int64
+	host      string
+	method    string
+	// target is the path with the query, as the caller sent it.
+	target string
+	header http.Header
+	body   []byte
+	// arrival is when the head of the request was read; deadline is the end of its useful time.
+	arrival  time.Time
+	deadline time.Time
+	// limit says whose time ends at the deadline.
+	limit string
+
+	// sends counts endpoints that may have received the request.
+	sends      int
+	endpoint   string
+	firstEvent time.Duration
+	longestGap time.Duration
+	events     int
+	read       int
+	predicted  time.Duration
+}
+
+// The limits that end a request.
+const (
+	limitRoute  = "route timeout"
+	limitCaller = "caller's deadline"
+)
+
+// defaultPatience bounds a request whose route and caller state no limit.
+const defaultPatience = 60 * time.Second
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrival := time.Now()
+	s.stats.active.Update(s.active.Add(1))
+	defer func() { s.stats.active.Update(s.active.Add(-1)) }()
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	caller := s.o.Wire.ReadRequest(r.Header)
+	req, refusal := s.identify(r, caller, arrival)
+	if refusal != nil {
+		s.refuse(w, caller, refusal)
+		return
+	}
+	if refusal := s.readBody(w, r, req); refusal != nil {
+		s.refuse(w, caller, refusal)
+		return
+	}
+	s.forward(w, r, req)
+}
+
+// identify finds the route and the workspace of a request.
+func (s *Server) identify(r *http.Request, caller Caller, arrival time.Time) (*request, *reply) {
+	view := s.fleet.View()
+	switch {
+	case view.Table == nil:
+		return nil, notRun("no routing table yet", startRetryAfter)
+	case s.refusing.Load():
+		return nil, notRun("the daemon is stopping", stopRetryAfter)
+	case caller.Attempt == "":
+		return nil, &reply{status: http.StatusBadRequest, reason: "the attempt has no id"}
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route := view.Table.Lookup(hostOnly(r.Host), path)
+	if route == nil {
+		return nil, s.unknown(http.StatusNotFound, "no route")
+	}
+	req := &request{
+		caller: caller, route: route, tier: route.Tier, version: view.Table.Version, host: r.Host,
+		method: r.Method, target: r.RequestURI, header: r.Header, arrival: arrival,
+	}
+	if view.Table.KeysRequired {
+		workspace, ok := view.Table.Keys[caller.Key]
+		switch {
+		case ok:
+			req.workspace = workspace
+			if workspace.HasTier {
+				req.tier = workspace.Tier
+			}
+		case !route.Public:
+			return nil, s.unknown(http.StatusUnauthorized, "unknown key")
+		}
+	}
+	req.pool = view.Table.Pools[pickPool(route)]
+	req.setDeadline()
+	return req, nil
+}
+
+// staleAfter is the silence of the store after which the routing table may be out of date.
+const staleAfter = 3 * time.Second
+
+// unknown refuses a request that the routing table does not allow. While the table may be out of date, the
+// caller is asked to come back instead.
+func (s *Server) unknown(status int, reason string) *reply {
+	if s.fleet.StoreAge() > staleAfter {
+		return notRun(reason+" in a routing table that may be out of date", startRetryAfter)
+	}
+	return &reply{status: status, reason: reason}
+}
+
+func hostOnly(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// pickPool picks one of the route's pools by weight.
+func pickPool(r *traffic.Route) string {
+	sum := 0
+	for _, p := range r.Pools {
+		sum += p.Weight
+	}
+	if sum == 0 {
+		return ""
+	}
+	n := rand.IntN(sum)
+	for _, p := range r.Pools {
+		if n -= p.Weight; n < 0 {
+			return p.Pool
+		}
+	}
+	return ""
+}
+
+// setDeadline bounds the request by the route's timeout and the caller's patience.
+func (r *request) setDeadline() {
+	patience, limit := defaultPatience, limitRoute
+	if r.route.Timeout > 0 {
+		patience = r.route.Timeout
+	}
+	if r.caller.Patience > 0 && r.caller.Patience < patience {
+		patience, limit = r.caller.Patience, limitCaller
+	}
+	r.deadline, r.limit = r.arrival.Add(patience), limit
+}
+
+// defaultMaxBody bounds a body when the routing table states no limit.
+const defaultMaxBody = 4 << 20
+
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, req *request) *reply {
+	limit := s.fleet.View().Table.Limits.MaxBody
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	var err error
+	if req.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit)); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return &reply{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+		}
+		// The caller broke off its request, so that nobody reads an answer.
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/stats.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/chivewind/chivewind/internal/fleet"
+	"github.com/chivewind/chivewind/internal/promtext"
+)
+
+// stats are the metrics of the request path. docs/metrics.md lists them.
+type stats struct {
+	registry metrics.Registry
+	version  metrics.Gauge
+	revision metrics.Gauge
+	ready    metrics.Gauge
+	active   metrics.Gauge
+}
+
+func newStats(r metrics.Registry) *stats {
+	return &stats{
+		registry: r,
+		version:  metrics.GetOrRegisterGauge("chivewind_entry_table_version", r),
+		revision: metrics.GetOrRegisterGauge("chivewind_entry_store_revision", r),
+		ready:    metrics.GetOrRegisterGauge("chivewind_entry_endpoints_ready", r),
+		active:   metrics.GetOrRegisterGauge("chivewind_entry_requests_in_progress", r),
+	}
+}
+
+func (s *stats) view(v *fleet.View) {
+	s.revision.Update(v.Revision)
+	if v.Table != nil {
+		s.version.Update(v.Table.Version)
+	}
+	ready := 0
+	for _, list := range v.ByPool {
+		ready += len(list)
+	}
+	s.ready.Update(int64(ready))
+}
+
+func (s *stats) count(name string, labels ...string) {
+	metrics.GetOrRegisterCounter(promtext.Name(name, labels...), s.registry).Inc(1)
+}
+
+func (s *stats) observe(name, class string, d time.Duration) {
+	h := s.registry.GetOrRegister(promtext.Name(name, "class", class), newHistogram).(metrics.Histogram)
+	h.Update(d.Microseconds())
+}
+
+func newHistogram() metrics.Histogram {
+	// samples bounds the memory of a histogram: a uniform sample of 256 values gives the 95th percentile
+	// to within about 3 in 100.
+	const samples = 256
+	return metrics.NewHistogram(metrics.NewUniformSample(samples))
+}
+
+// ended counts the end of a request.
+func (s *stats) ended(class string, status int, reason string) {
+	s.count("chivewind_entry_requests_total", "class", class, "status", strconv.Itoa(status), "reason", reason)
+}
--- /dev/null
+++ b/internal/fleet/members.go
@@ -0,0 +1,159 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/chivewind/chivewind/internal/rendezvous"
+	"github.com/chivewind/chivewind/peer"
+)
+
+const (
+	// HeartbeatInterval is the longest time between two reports of a daemon in a small fleet.
+	HeartbeatInterval = 300 * time.Millisecond
+	// heartbeatBudget is the number of datagrams a second that a daemon sends as heartbeats at most; larger
+	// fleets have longer intervals.
+	heartbeatBudget = 40
+	// missedHeartbeats is the number of intervals of silence after which a daemon counts as dead. Links may
+	// lose several packets in a hundred, so that a few in a row may be missing.
+	missedHeartbeats = 5
+)
+
+// heartbeatInterval returns the interval for a fleet of n daemons.
+func heartbeatInterval(n int) time.Duration {
+	return max(HeartbeatInterval, time.Duration(n)*time.Second/heartbeatBudget)
+}
+
+// Member is another entry daemon.
+type Member struct {
+	Identity    *peer.Identity
+	Incarnation uint64
+	Sequence    uint64
+	State       peer.DaemonState
+	Revision    int64
+	Heard       time.Time
+}
+
+// Members is the list of the other daemons. It is pure: the time is passed in and callers serialize calls.
+type Members struct {
+	self    *peer.Identity
+	members map[string]*Member
+}
+
+// NewMembers returns an empty list for a daemon.
+func NewMembers(self *peer.Identity) *Members {
+	return &Members{self: self, members: map[string]*Member{}}
+}
+
+// Learn records where a daemon is reached, for example from its key in the store. Only a report shows
+// that it lives.
+func (m *Members) Learn(id *peer.Identity) {
+	if id == nil || id.Daemon == "" || id.Daemon == m.self.Daemon || id.ReportAddress == "" {
+		return
+	}
+	if known := m.members[id.Daemon]; known != nil {
+		known.Identity = id
+		return
+	}
+	m.members[id.Daemon] = &Member{Identity: id}
+}
+
+// Receive records a report. It returns nil for one that is older than the last, or whose sender's
+// addresses are not known yet.
+func (m *Members) Receive(now time.Time, r *peer.Report) *Member {
+	m.Learn(r.Identity)
+	known := m.members[r.Daemon]
+	if known == nil || r.Incarnation < known.Incarnation ||
+		(r.Incarnation == known.Incarnation && r.Sequence <= known.Sequence) {
+		return nil
+	}
+	known.Incarnation, known.Sequence = r.Incarnation, r.Sequence
+	known.State, known.Revision, known.Heard = r.State, r.Revision, now
+	return known
+}
+
+// timeout is the silence after which a daemon counts as dead.
+func (m *Members) timeout() time.Duration {
+	return missedHeartbeats * heartbeatInterval(len(m.members)+1)
+}
+
+// alive says whether a member's last report is recent.
+func (m *Members) alive(now time.Time, member *Member) bool {
+	return !member.Heard.IsZero() && now.Sub(member.Heard) < m.timeout()
+}
+
+// Live returns the other daemons that were heard lately, sorted by name.
+func (m *Members) Live(now time.Time) []*Member {
+	var live []*Member
+	for _, member := range m.members {
+		if m.alive(now, member) {
+			live = append(live, member)
+		}
+	}
+	slices.SortFunc(live, func(a, b *Member) int { return cmp.Compare(a.Identity.Daemon, b.Identity.Daemon) })
+	return live
+}
+
+// All returns where all known daemons are reached, also silent ones.
+func (m *Members) All() []*peer.Identity {
+	ids := make([]*peer.Identity, 0, len(m.members))
+	for _, member := range m.members {
+		ids = append(ids, member.Identity)
+	}
+	slices.SortFunc(ids, func(a, b *peer.Identity) int { return cmp.Compare(a.Daemon, b.Daemon) })
+	return ids
+}
+
+// Forget drops daemons that have been silent for the given time and are not registered in the store.
+func (m *Members) Forget(now time.Time, silence time.Duration, registered func(daemon string) bool) {
+	for id, member := range m.members {
+		if now.Sub(member.Heard) > silence && !registered(id) {
+			delete(m.members, id)
+		}
+	}
+}
+
+// minEntryAddresses is the number of addresses in an answer to callers where the fleet has as many, so
+// that a caller whose address fails has another one at once.
+const minEntryAddresses = 2
+
+// maxEntryAddresses bounds the addresses of one answer; callers use no more than 64.
+const maxEntryAddresses = 16
+
+// EntryAddresses returns the entry addresses for callers of an availability zone: the ready daemons of the
+// zone and, if those are fewer than two, one of another zone. Traffic within a zone is faster and cheaper.
+func (m *Members) EntryAddresses(now time.Time, zone string, selfReady bool) []string {
+	var near, far []*peer.Identity
+	add := func(id *peer.Identity) {
+		if id.Zone == zone {
+			near = append(near, id)
+		} else {
+			far = append(far, id)
+		}
+	}
+	if selfReady {
+		add(m.self)
+	}
+	for _, member := range m.members {
+		if member.State == peer.DaemonState_DAEMON_STATE_READY && m.alive(now, member) {
+			add(member.Identity)
+		}
+	}
+	// All daemons order the others alike for a zone, and zones prefer different ones.
+	key := rendezvous.Key(zone)
+	byWeight := func(a, b *peer.Identity) int {
+		return cmp.Compare(rendezvous.Weight(key, rendezvous.Key(b.Daemon)), rendezvous.Weight(key, rendezvous.Key(a.Daemon)))
+	}
+	slices.SortFunc(near, byWeight)
+	slices.SortFunc(far, byWeight)
+	chosen := near[:min(len(near), maxEntryAddresses)]
+	if missing := minEntryAddresses - len(chosen); missing > 0 {
+		chosen = append(slices.Clone(chosen), far[:min(len(far), missing)]...)
+	}
+	addresses := make([]string, len(chosen))
+	for i, id := range chosen {
+		addresses[i] = id.EntryAddress
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/placement/cache.go
@@ -0,0 +1,250 @@
+package placement
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivewind/chivewind/traffic"
+)
+
+const (
+	// cacheShare is the part of an engine's memory that cached parts are assumed to keep beside running requests.
+	cacheShare = 0.6
+	// maxPromises is how long a part that is being read counts as cached on its engine.
+	promiseAge = 10 * time.Second
+	// maxNews bounds the cached parts that one report carries.
+	maxNews = 24
+	// newsRepeats is the number of reports that carry each one, because reports may be lost.
+	newsRepeats = 2
+)
+
+// chain is the parts of a prompt as hashes, each of a part with all before it: a part is cached only
+// together with those before it.
+type chain struct {
+	keys   []uint64
+	sums   []int
+	total  int
+	shared int
+}
+
+func newChain(p *traffic.Prompt) chain {
+	c := chain{total: p.Tokens, shared: min(p.SharedTokens(), p.Tokens)}
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(p.Model)
+	sum := 0
+	for _, part := range p.Parts {
+		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString(part.ID)
+		sum += part.Tokens
+		c.keys = append(c.keys, d.Sum64())
+		c.sums = append(c.sums, sum)
+	}
+	c.total = max(c.total, sum)
+	return c
+}
+
+// tokens returns the tokens of the first n parts.
+func (c chain) tokens(n int) int {
+	if n == 0 {
+		return 0
+	}
+	return c.sums[n-1]
+}
+
+// cached is one part on one engine.
+type cached struct {
+	key    uint64
+	tokens int
+	// confirmed says that the engine has read the part; before, it is only on its way.
+	confirmed bool
+	at        time.Time
+}
+
+// engineCache models what one engine keeps: the least recently used parts yield.
+type engineCache struct {
+	parts  map[uint64]*list.Element
+	order  *list.List
+	tokens int
+}
+
+// news is a cached part that the other daemons have not been told of often enough.
+type news struct {
+	key    uint64
+	engine uint32
+	tokens int
+	left   int
+}
+
+// cacheMap knows which engine has which parts, from requests that all daemons sent there.
+type cacheMap struct {
+	engines map[uint32]*engineCache
+	// holders counts the engines that have confirmed a part.
+	holders map[uint64]map[uint32]bool
+	news    []news
+}
+
+func newCacheMap() *cacheMap {
+	return &cacheMap{engines: map[uint32]*engineCache{}, holders: map[uint64]map[uint32]bool{}}
+}
+
+func (m *cacheMap) engine(hash uint32) *engineCache {
+	e := m.engines[hash]
+	if e == nil {
+		e = &engineCache{parts: map[uint64]*list.Element{}, order: list.New()}
+		m.engines[hash] = e
+	}
+	return e
+}
+
+// kept returns the number of leading parts that an engine has or is reading.
+func (m *cacheMap) kept(c chain, engine uint32) int {
+	e := m.engines[engine]
+	if e == nil {
+		return 0
+	}
+	n := 0
+	for n < len(c.keys) && e.parts[c.keys[n]] != nil {
+		n++
+	}
+	return n
+}
+
+// known says whether any engine has read the first part of the chain.
+func (m *cacheMap) known(c chain) bool {
+	return len(c.keys) > 0 && len(m.holders[c.keys[0]]) > 0
+}
+
+// source returns another engine that has more than the given number of leading parts, and how many it has.
+func (m *cacheMap) source(c chain, kept int, except uint32) (uint32, int) {
+	for n := len(c.keys); n > kept; n-- {
+		var best uint32
+		var newest time.Time
+		for engine := range m.holders[c.keys[n-1]] {
+			el := m.engines[engine].parts[c.keys[n-1]]
+			if engine == except || el == nil {
+				continue
+			}
+			if at := el.Value.(*cached).at; newest.IsZero() || at.After(newest) || (at.Equal(newest) && engine < best) {
+				best, newest = engine, at
+			}
+		}
+		if !newest.IsZero() {
+			return best, n
+		}
+	}
+	return 0, 0
+}
+
+// promise records that an engine is about to read a chain.
+func (m *cacheMap) promise(now time.Time, c chain, engine uint32) {
+	e := m.engine(engine)
+	for i, key := range c.keys {
+		m.put(now, e, engine, key, c.tokens(i+1)-c.tokens(i), false)
+	}
+}
+
+// confirm records that an engine has read a chain.
+func (m *cacheMap) confirm(now time.Time, c chain, engine uint32, capacity int) {
+	e := m.engine(engine)
+	for i, key := range c.keys {
+		tokens := c.tokens(i+1) - c.tokens(i)
+		if fresh := m.put(now, e, engine, key, tokens, true); fresh {
+			m.news = append(m.news, news{key: key, engine: engine, tokens: tokens, left: newsRepeats})
+		}
+	}
+	m.trim(now, e, engine, capacity)
+}
+
+// put adds or refreshes a part and says whether it is newly confirmed.
+func (m *cacheMap) put(now time.Time, e *engineCache, engine uint32, key uint64, tokens int, confirmed bool) bool {
+	el := e.parts[key]
+	if el == nil {
+		el = e.order.PushFront(&cached{key: key, tokens: tokens})
+		e.parts[key] = el
+		e.tokens += tokens
+	}
+	e.order.MoveToFront(el)
+	part := el.Value.(*cached)
+	part.at = now
+	if !confirmed || part.confirmed {
+		return false
+	}
+	part.confirmed = true
+	if m.holders[key] == nil {
+		m.holders[key] = map[uint32]bool{}
+	}
+	m.holders[key][engine] = true
+	return true
+}
+
+// trim drops the least recently used parts beyond the engine's memory.
+func (m *cacheMap) trim(now time.Time, e *engineCache, engine uint32, capacity int) {
+	limit := int(cacheShare * float64(capacity))
+	for el := e.order.Back(); el != nil && capacity > 0 && e.tokens > limit; {
+		previous := el.Prev()
+		if part := el.Value.(*cached); part.confirmed || now.Sub(part.at) > promiseAge {
+			m.remove(e, engine, el)
+		}
+		el = previous
+	}
+}
+
+func (m *cacheMap) remove(e *engineCache, engine uint32, el *list.Element) {
+	part := el.Value.(*cached)
+	e.order.Remove(el)
+	delete(e.parts, part.key)
+	e.tokens -= part.tokens
+	if holders := m.holders[part.key]; holders != nil {
+		delete(holders, engine)
+		if len(holders) == 0 {
+			delete(m.holders, part.key)
+		}
+	}
+}
+
+// withdraw forgets a chain that an engine did not read after all.
+func (m *cacheMap) withdraw(c chain, engine uint32) {
+	e := m.engines[engine]
+	if e == nil {
+		return
+	}
+	for _, key := range c.keys {
+		if el := e.parts[key]; el != nil && !el.Value.(*cached).confirmed {
+			m.remove(e, engine, el)
+		}
+	}
+}
+
+// drop forgets an engine.
+func (m *cacheMap) drop(engine uint32) {
+	e := m.engines[engine]
+	if e == nil {
+		return
+	}
+	for el := e.order.Front(); el != nil; {
+		next := el.Next()
+		m.remove(e, engine, el)
+		el = next
+	}
+	delete(m.engines, engine)
+}
+
+// takeNews returns parts for the next report.
+func (m *cacheMap) takeNews() []news {
+	n := min(len(m.news), maxNews)
+	out := append([]news(nil), m.news[:n]...)
+	rest := m.news[:0]
+	for i, item := range m.news {
+		if i < n {
+			item.left--
+		}
+		if item.left > 0 {
+			rest = append(rest, item)
+		}
+	}
+	m.news = rest
+	return out
+}
--- /dev/null
+++ b/internal/placement/demand.go
@@ -0,0 +1,181 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivewind/chivewind/peer"
+	"github.com/chivewind/chivewind/traffic"
+)
+
+const (
+	// demandMemory is the time in which the weight of past requests halves. It lets the lanes follow a
+	// burst within seconds.
+	demandMemory = 1500 * time.Millisecond
+	// writeCost is the engine time of a generated token relative to a prompt token that is read: batching
+	// shares a step among all streams.
+	writeCost = 20.0
+)
+
+// classDemand is the recent load of a class per second.
+type classDemand struct {
+	requests float64
+	read     float64
+	write    float64
+}
+
+// work is the engine time of the class, in prompt tokens per second.
+func (d classDemand) work() float64 { return d.read + writeCost*d.write }
+
+type decaying struct {
+	classDemand
+	at time.Time
+}
+
+func (d *decaying) decay(now time.Time) {
+	f := math.Exp2(-float64(now.Sub(d.at)) / float64(demandMemory))
+	d.requests *= f
+	d.read *= f
+	d.write *= f
+	d.at = now
+}
+
+// demand sums the load of the classes over all daemons.
+type demand struct {
+	own        map[uint32]*decaying
+	remote     map[string]map[uint32]classDemand
+	strictHash map[uint32]bool
+	strictGap  time.Duration
+}
+
+func newDemand() *demand {
+	return &demand{own: map[uint32]*decaying{}, remote: map[string]map[uint32]classDemand{}, strictHash: map[uint32]bool{}}
+}
+
+func hashClass(class string) uint32 { return uint32(xxhash.Sum64String(class)) }
+
+// setStrict records the classes with strict pauses.
+func (d *demand) setStrict(t *traffic.Table, strict map[string]bool) {
+	d.strictHash = map[uint32]bool{}
+	d.strictGap = 0
+	for class := range strict {
+		d.strictHash[hashClass(class)] = true
+	}
+	for i := range t.Routes {
+		if r := &t.Routes[i]; strict[r.Class] && (d.strictGap == 0 || r.Gap < d.strictGap) {
+			d.strictGap = r.Gap
+		}
+	}
+}
+
+// perSecond scales a sum with exponential decay to a rate.
+func perSecond() float64 { return math.Ln2 / demandMemory.Seconds() }
+
+// arrived counts a request with the prompt tokens to be read and the expected output.
+func (d *demand) arrived(now time.Time, class string, read, write int) {
+	h := hashClass(class)
+	own := d.own[h]
+	if own == nil {
+		own = &decaying{at: now}
+		d.own[h] = own
+	}
+	own.decay(now)
+	own.requests += perSecond()
+	own.read += perSecond() * float64(read)
+	own.write += perSecond() * float64(write)
+}
+
+// total returns the load of each class by all daemons.
+func (d *demand) total(now time.Time) map[uint32]classDemand {
+	sum := map[uint32]classDemand{}
+	add := func(h uint32, c classDemand) {
+		s := sum[h]
+		s.requests += c.requests
+		s.read += c.read
+		s.write += c.write
+		sum[h] = s
+	}
+	for h, own := range d.own {
+		own.decay(now)
+		add(h, own.classDemand)
+	}
+	for _, classes := range d.remote {
+		for h, c := range classes {
+			add(h, c)
+		}
+	}
+	return sum
+}
+
+// Arrived counts a request for an engine pool, whether it is admitted or not.
+func (b *Board) Arrived(now time.Time, class string, p *traffic.Prompt) {
+	if p == nil {
+		return
+	}
+	output := p.MaxOutput
+	if p.OutputHint > 0 {
+		output = p.OutputHint
+	}
+	b.demand.arrived(now, class, max(p.Tokens-p.SharedTokens(), 0), output)
+}
+
+// FillReport adds this daemon's load to a report.
+func (b *Board) FillReport(now time.Time, r *peer.Report) {
+	for _, e := range b.endpoints {
+		if e.own == (load{}) {
+			continue
+		}
+		r.Loads = append(r.Loads, &peer.EndpointLoad{
+			Endpoint: e.hash, UnreadTokens: uint32(max(e.own.unread, 0)), Streams: uint32(max(e.own.streams, 0)),
+			StrictStreams: uint32(max(e.own.strict, 0)),
+		})
+	}
+	for _, n := range b.cache.takeNews() {
+		r.Cached = append(r.Cached, &peer.CachedPart{Part: n.key, Endpoint: n.engine, Tokens: uint32(n.tokens)})
+	}
+	for h, own := range b.demand.own {
+		own.decay(now)
+		if own.requests > 0.01 {
+			r.Demand = append(r.Demand, &peer.ClassDemand{
+				Class: h, RequestsPerKs: uint32(own.requests * 1000), ReadPerS: uint32(own.read), WritePerS: uint32(own.write),
+			})
+		}
+	}
+}
+
+// HandleReport takes the load of another daemon.
+func (b *Board) HandleReport(now time.Time, r *peer.Report) {
+	for _, e := range b.endpoints {
+		delete(e.remote, r.Daemon)
+	}
+	for _, l := range r.Loads {
+		if e := b.byHash[l.Endpoint]; e != nil {
+			e.remote[r.Daemon] = remoteLoad{at: now, load: load{unread: int(l.UnreadTokens), streams: int(l.Streams), strict: int(l.StrictStreams)}}
+		}
+	}
+	for _, c := range r.Cached {
+		e := b.byHash[c.Endpoint]
+		if e == nil {
+			continue
+		}
+		b.cache.put(now, b.cache.engine(e.hash), e.hash, c.Part, int(c.Tokens), true)
+		if p := b.pools[e.Pool]; p != nil && p.Engine != nil {
+			b.cache.trim(now, b.cache.engine(e.hash), e.hash, p.Engine.CacheTokens)
+		}
+	}
+	classes := map[uint32]classDemand{}
+	for _, d := range r.Demand {
+		classes[d.Class] = classDemand{requests: float64(d.RequestsPerKs) / 1000, read: float64(d.ReadPerS), write: float64(d.WritePerS)}
+	}
+	b.demand.remote[r.Daemon] = classes
+}
+
+// ForgetDaemon drops the load of a daemon that is silent.
+func (b *Board) ForgetDaemon(daemon string) {
+	for _, e := range b.endpoints {
+		delete(e.remote, daemon)
+	}
+	delete(b.demand.remote, daemon)
+}
--- /dev/null
+++ b/internal/placement/endpoint.go
@@ -0,0 +1,239 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/chivewind/chivewind/traffic"
+)
+
+const (
+	// initialSpeed is the reading speed of an engine in tokens per millisecond until it has been measured.
+	initialSpeed = 40.0
+	minSpeed     = 2.0
+	maxSpeed     = 1000.0
+	// speedGain is the weight of a new measurement of the reading speed.
+	speedGain = 0.1
+	// minMeasured is the number of unread tokens from which the time to the first event shows the speed;
+	// below, fixed costs dominate.
+	minMeasured = 3000
+	// firstEventBase is the part of the time to a first event that does not depend on the prompt.
+	firstEventBase = 60 * time.Millisecond
+	// initialService is the time that a plain service takes until it has been measured.
+	initialService = 60 * time.Millisecond
+	serviceGain    = 0.1
+	// silence is how long an endpoint with requests may send nothing before it is suspected.
+	silence = time.Second
+	// remoteAge is how long another daemon's load counts without a new report.
+	remoteAge = 3 * time.Second
+)
+
+// load is what occupies an endpoint.
+type load struct {
+	// unread are prompt tokens of requests without a first event.
+	unread int
+	// streams counts requests in progress, strict those with the shortest pauses.
+	streams int
+	strict  int
+}
+
+func (l *load) add(o load) {
+	l.unread += o.unread
+	l.streams += o.streams
+	l.strict += o.strict
+}
+
+type remoteLoad struct {
+	load
+	at time.Time
+}
+
+// endpoint is the state of one incarnation of an endpoint.
+type endpoint struct {
+	traffic.Endpoint
+	hash   uint32
+	own    load
+	remote map[string]remoteLoad
+	health health
+	// speed is the engine's reading speed relative to its pool.
+	speed float64
+	// service is the smoothed time of a plain request at an idle slot.
+	service time.Duration
+	// progressAt is when the endpoint last sent something or received a request while it had none.
+	progressAt time.Time
+}
+
+func newEndpoint(now time.Time, info traffic.Endpoint) *endpoint {
+	return &endpoint{
+		Endpoint: info, hash: hashID(info), remote: map[string]remoteLoad{}, speed: 1,
+		service: initialService, progressAt: now,
+	}
+}
+
+// load returns the load by all daemons.
+func (e *endpoint) load(now time.Time) load {
+	total := e.own
+	for _, r := range e.remote {
+		if now.Sub(r.at) < remoteAge {
+			total.add(r.load)
+		}
+	}
+	return total
+}
+
+func (e *endpoint) requests() int { return e.own.streams }
+
+// silent says that the endpoint has sent nothing for a while although requests of this daemon run there.
+func (e *endpoint) silent(now time.Time) bool {
+	return e.own.streams > 0 && now.Sub(e.progressAt) > silence
+}
+
+// readingSpeed returns the engine's speed in tokens per millisecond.
+func (e *endpoint) readingSpeed(p *pool) float64 { return p.speed * e.speed }
+
+// plainWait returns the expected time of one more request at a plain service.
+func (e *endpoint) plainWait(now time.Time) time.Duration {
+	slots := max(e.Slots, 1)
+	waiting := max(e.load(now).streams+1-slots, 0)
+	busy := float64(min(e.load(now).streams, slots)) / float64(slots)
+	// A little cost for taken slots spreads the requests before a queue forms.
+	return time.Duration(float64(e.service) * (1 + 0.3*busy + float64(waiting)/float64(slots)))
+}
+
+// Ticket is an attempt in progress.
+type Ticket struct {
+	board   *Board
+	pool    *pool
+	e       *endpoint
+	load    load
+	plain   bool
+	chain   chain
+	strict  bool
+	ahead   int
+	started time.Time
+	first   bool
+	ended   bool
+}
+
+// Start records that an attempt is sent to the chosen endpoint.
+func (b *Board) Start(now time.Time, poolName string, r *Request, c Choice) *Ticket {
+	p := b.pools[poolName]
+	e := b.endpoint(now, c.Endpoint)
+	t := &Ticket{board: b, pool: p, e: e, started: now, plain: p == nil || p.Engine == nil, strict: b.strict[r.Class]}
+	t.load = load{unread: c.Read, streams: 1}
+	if t.strict {
+		t.load.strict = 1
+	}
+	if e.own.streams == 0 {
+		e.progressAt = now
+	}
+	t.ahead = e.load(now).unread + c.Read
+	e.own.add(t.load)
+	if !t.plain && r.Prompt != nil {
+		t.chain = newChain(r.Prompt)
+		b.cache.promise(now, t.chain, e.hash)
+	}
+	e.health.began(now)
+	return t
+}
+
+// Event records that the endpoint has sent something of the answer.
+func (t *Ticket) Event(now time.Time) {
+	t.e.progressAt = now
+	if t.first || t.ended {
+		return
+	}
+	t.first = true
+	t.e.own.unread -= t.load.unread
+	if t.plain {
+		return
+	}
+	t.measure(now)
+	t.board.cache.confirm(now, t.chain, t.e.hash, t.capacity())
+}
+
+func (t *Ticket) capacity() int {
+	if t.pool == nil || t.pool.Engine == nil {
+		return 0
+	}
+	return t.pool.Engine.CacheTokens
+}
+
+// measure updates the reading speed from the time to the first event.
+func (t *Ticket) measure(now time.Time) {
+	if t.ahead < minMeasured || t.pool == nil {
+		return
+	}
+	elapsed := max(now.Sub(t.started)-firstEventBase, time.Millisecond)
+	sample := min(max(float64(t.ahead)/(float64(elapsed)/float64(time.Millisecond)), minSpeed), maxSpeed)
+	t.pool.speed += speedGain * (sample - t.pool.speed)
+	relative := min(max(sample/t.pool.speed, 0.1), 2)
+	t.e.speed += speedGain * (relative - t.e.speed)
+}
+
+// Outcome says how an attempt ended, as far as placement is concerned.
+type Outcome uint8
+
+// The outcomes of an attempt.
+const (
+	// Served: the endpoint gave a complete answer.
+	Served Outcome = iota
+	// Refused: the endpoint stated that it did not run the request.
+	Refused
+	// Failed: the endpoint answered with an error or broke its answer.
+	Failed
+	// Unreachable: no connection could be made, or it was reset before an answer.
+	Unreachable
+	// Abandoned: the caller left or the time was up.
+	Abandoned
+)
+
+// End records the end of an attempt.
+func (t *Ticket) End(now time.Time, o Outcome) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	e := t.e
+	if !t.first {
+		e.own.unread -= t.load.unread
+	}
+	e.own.streams -= t.load.streams
+	e.own.strict -= t.load.strict
+	switch o {
+	case Served:
+		e.progressAt = now
+		e.health.succeeded(now)
+		if t.plain {
+			e.service += time.Duration(serviceGain * float64(now.Sub(t.started)-e.service))
+		}
+	case Failed, Refused:
+		e.health.failed(now)
+	case Unreachable:
+		e.health.unreachable(now)
+		if !t.first {
+			t.board.cache.withdraw(t.chain, e.hash)
+		}
+	}
+}
+
+// interleaveZones orders endpoints so that each prefix of the list is spread over the availability zones.
+// All daemons get the same order.
+func interleaveZones(endpoints []*endpoint) []*endpoint {
+	byZone := map[string][]*endpoint{}
+	for _, e := range endpoints {
+		byZone[e.Zone] = append(byZone[e.Zone], e)
+	}
+	rank := make(map[*endpoint]int, len(endpoints))
+	for _, list := range byZone {
+		slices.SortFunc(list, func(a, b *endpoint) int { return cmp.Compare(a.hash, b.hash) })
+		for i, e := range list {
+			rank[e] = i
+		}
+	}
+	slices.SortFunc(endpoints, func(a, b *endpoint) int {
+		return cmp.Or(cmp.Compare(rank[a], rank[b]), cmp.Compare(a.hash, b.hash))
+	})
+	return endpoints
+}
--- /dev/null
+++ b/internal/placement/lanes.go
@@ -0,0 +1,111 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/chivewind/chivewind/traffic"
+)
+
+const (
+	// strictRatio separates classes by their pauses: those within this factor of the shortest are strict.
+	strictRatio = 1.3
+	// strictFactor is how much more room the strict lane gets than its share of the work, so that prompts
+	// rarely meet on one of its engines.
+	strictFactor = 2.0
+	// laneInterval is the time between two adjustments of the lanes.
+	laneInterval = 250 * time.Millisecond
+	// laneStep is the part of an engine by which the wanted size must differ from the present one.
+	laneStep = 0.7
+	// gapShare is the part of a pause target that reading prompts may take without breaking it.
+	gapShare = 0.4
+)
+
+// lanes splits a pool's engines: the first ones serve classes with strict pauses, the others long prompts.
+// Reading a long prompt delays all streams of its engine beyond a strict pause.
+type lanes struct {
+	// strict is the number of engines of the strict lane; 0 means that the pool is not split.
+	strict int
+	at     time.Time
+}
+
+// strictClasses returns the classes with the shortest pauses when others allow clearly longer ones.
+func strictClasses(t *traffic.Table) map[string]bool {
+	var shortest, longest time.Duration
+	for i := range t.Routes {
+		if gap := t.Routes[i].Gap; t.Routes[i].Stream && gap > 0 {
+			if shortest == 0 || gap < shortest {
+				shortest = gap
+			}
+			longest = max(longest, gap)
+		}
+	}
+	strict := map[string]bool{}
+	bound := time.Duration(strictRatio * float64(shortest))
+	if longest <= bound {
+		return strict
+	}
+	for i := range t.Routes {
+		if r := &t.Routes[i]; r.Stream && r.Gap > 0 && r.Gap <= bound {
+			strict[r.Class] = true
+		}
+	}
+	return strict
+}
+
+// updateLanes follows the recent load of the classes. It answers bursts of one class: within a second or
+// two the lane of that class grows.
+func (b *Board) updateLanes(now time.Time, p *pool) {
+	if p.Engine == nil || now.Sub(p.lanes.at) < laneInterval {
+		return
+	}
+	p.lanes.at = now
+	n := len(p.endpoints)
+	if n < 2 || len(b.strict) == 0 {
+		p.lanes.strict = 0
+		return
+	}
+	var strict, other float64
+	for class, d := range b.demand.total(now) {
+		if b.demand.strictHash[class] {
+			strict += d.work()
+		} else {
+			other += d.work()
+		}
+	}
+	if strict+other == 0 {
+		p.lanes.strict = max(1, n/3)
+		return
+	}
+	want := float64(n) * strictFactor * strict / (strictFactor*strict + other)
+	want = min(max(want, 1), float64(n-1))
+	if p.lanes.strict == 0 || want > float64(p.lanes.strict)+laneStep || want < float64(p.lanes.strict)-laneStep {
+		p.lanes.strict = int(want + 0.5)
+	}
+}
+
+// laneCost is the expected loss for streams when a prompt is read at an endpoint.
+func (b *Board) laneCost(p *pool, index int, e *endpoint, l load, r *Request, read int) float64 {
+	if p.lanes.strict == 0 {
+		return 0
+	}
+	cost := 0.0
+	inStrict := index < p.lanes.strict
+	budget := b.readBudget(e, p)
+	switch {
+	case b.strict[r.Class]:
+		if !inStrict {
+			cost += laneWeight
+		}
+	case inStrict && float64(l.unread+read) > budget:
+		cost += laneWeight
+	}
+	if over := float64(l.unread+read)/budget - 1; over > 0 && !b.strict[r.Class] {
+		cost += disturbWeight * min(over, 1) * float64(min(l.strict, maxDisturbed))
+	}
+	return cost
+}
+
+// readBudget is the number of tokens that an engine reads in the part of a strict pause that may be used.
+func (b *Board) readBudget(e *endpoint, p *pool) float64 {
+	return max(e.readingSpeed(p)*gapShare*float64(b.demand.strictGap)/float64(time.Millisecond), 1)
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -10,7 +10,7 @@
 	// DefaultReserve is the number of retries per window that is allowed regardless of the ratio, so
 	// that a crashed endpoint's requests are continued also at a low request rate.
 	DefaultReserve = 32
-	// Window is the time over which requests and retries are counted.
+	// Window is the default time over which requests and retries are counted.
 	Window = 10 * time.Second
 
 	buckets = 10
@@ -41,6 +41,8 @@
 type Options struct {
 	Ratio   float64
 	Reserve int
+	// Window is the time over which requests and retries are counted.
+	Window time.Duration
 }
 
 // Budget bounds the retries of each class and of all classes.
@@ -57,13 +59,17 @@
 	if o.Reserve == 0 {
 		o.Reserve = DefaultReserve
 	}
+	if o.Window == 0 {
+		o.Window = Window
+	}
 	return &Budget{o: o, counters: map[string]*counter{}}
 }
 
 // Request counts a first attempt.
 func (b *Budget) Request(now time.Time, class string) {
-	b.counter(class).at(now).requests++
-	b.counter(total).at(now).requests++
+	slot := b.slot(now)
+	b.counter(class).at(slot).requests++
+	b.counter(total).at(slot).requests++
 }
 
 // Take takes one retry from the budget. It returns false when the class or the total is used up.
@@ -72,11 +78,17 @@
 	if !b.allows(c, now) || !b.allows(all, now) {
 		return false
 	}
-	c.at(now).retries++
-	all.at(now).retries++
+	slot := b.slot(now)
+	c.at(slot).retries++
+	all.at(slot).retries++
 	return true
 }
 
+// Left says whether Take would succeed.
+func (b *Budget) Left(now time.Time, class string) bool {
+	return b.allows(b.counter(class), now) && b.allows(b.counter(total), now)
+}
+
 func (b *Budget) counter(class string) *counter {
 	c := b.counters[class]
 	if c == nil {
@@ -95,10 +107,9 @@
 // counter counts over the window in buckets of a tenth of it.
 type counter [buckets]bucket
 
-func slotOf(now time.Time) int64 { return now.UnixNano() / int64(Window/buckets) }
+func (b *Budget) slot(now time.Time) int64 { return now.UnixNano() / int64(b.o.Window/buckets) }
 
-func (c *counter) at(now time.Time) *bucket {
-	slot := slotOf(now)
+func (c *counter) at(slot int64) *bucket {
 	b := &c[slot%buckets]
 	if b.slot != slot {
 		*b = bucket{slot: slot}
@@ -107,7 +118,7 @@
 }
 
 func (b *Budget) allows(c *counter, now time.Time) bool {
-	slot := slotOf(now)
+	slot := b.slot(now)
 	requests, retries := 0, 0
 	for _, n := range c {
 		if slot-n.slot < buckets {
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,231 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// maxSkipped bounds the answers to other requests that are skipped before the expected one.
+	maxSkipped = 4
+	// maxSkippedBody bounds the body of a skipped answer, in bytes.
+	maxSkippedBody = 1 << 20
+	// lateWrite is how long the rest of a request may take to be written after its answer has ended. The
+	// connection is closed after it.
+	lateWrite  = 50 * time.Millisecond
+	readBuffer = 4 << 10
+)
+
+// errUnsent marks failures of a write of which no byte left.
+var errUnsent = errors.New("nothing was written")
+
+// conn is one connection, used for one request at a time.
+type conn struct {
+	raw         net.Conn
+	reader      *bufio.Reader
+	reused      bool
+	idleTimeout time.Duration
+	usableUntil time.Time
+	closeOnce   sync.Once
+}
+
+func newConn(raw net.Conn) *conn {
+	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), idleTimeout: unstatedIdle}
+}
+
+func (k *conn) close() { k.closeOnce.Do(func() { _ = k.raw.Close() }) }
+
+// quiet says whether an idle connection is open and without unexpected bytes.
+func (k *conn) quiet() bool {
+	if k.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := k.raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
+
+// exchange writes a request and reads the head of its answer. sent says whether a byte of the request may
+// have arrived.
+func (k *conn) exchange(r *Request, recognize Recognizer) (resp *Response, sent bool, err error) {
+	written := make(chan error, 1)
+	message := r.encode()
+	if len(message) <= readBuffer {
+		// A message that fits into the socket's buffer needs no goroutine of its own.
+		written <- k.write(message)
+	} else {
+		// The endpoint may answer before it has read the whole body.
+		go func() { written <- k.write(message) }()
+	}
+	for range maxSkipped {
+		head, err := k.readHead(r)
+		if err != nil {
+			return nil, k.maybeSent(written), err
+		}
+		if got := recognize(head.StatusCode, head.Header); !belongs(got.Attempt, r.Attempt, head.StatusCode) {
+			if n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxSkippedBody)); err != nil || n == maxSkippedBody {
+				return nil, true, fmt.Errorf("answer of another request: %w", errors.Join(err, io.ErrUnexpectedEOF))
+			}
+			continue
+		}
+		return k.response(head, written), true, nil
+	}
+	return nil, true, errors.New("only answers of other requests arrived")
+}
+
+// belongs says whether an answer is the one to the request. Only refusals may come without an id.
+func belongs(got, want string, status int) bool {
+	if got == "" {
+		return want == "" || status >= http.StatusMultipleChoices
+	}
+	return got == want
+}
+
+// maybeSent says whether the endpoint may have received a part of the request after reading failed.
+func (k *conn) maybeSent(written <-chan error) bool {
+	k.close()
+	return !errors.Is(<-written, errUnsent)
+}
+
+func (k *conn) write(message []byte) error {
+	n, err := k.raw.Write(message)
+	if err != nil && n == 0 {
+		return errors.Join(errUnsent, err)
+	}
+	return err
+}
+
+// readHead reads the head of the next final answer.
+func (k *conn) readHead(r *Request) (*http.Response, error) {
+	for {
+		head, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, err
+		}
+		if head.StatusCode >= http.StatusOK {
+			return head, nil
+		}
+	}
+}
+
+func (k *conn) response(head *http.Response, written <-chan error) *Response {
+	// An answer without a length ends with its connection.
+	endless := head.ContentLength < 0 && len(head.TransferEncoding) == 0
+	k.idleTimeout = statedIdle(head.Header)
+	return &Response{
+		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength,
+		Leaving: head.Close && !endless, body: head.Body, reader: k.reader, written: written,
+		keepable: !head.Close && !endless && head.ProtoAtLeast(1, 1),
+	}
+}
+
+// statedIdle returns how long a connection may stay idle by the endpoint's Keep-Alive header.
+func statedIdle(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") && seconds > 0 {
+			return time.Duration(idleShare * float64(seconds) * float64(time.Second))
+		}
+	}
+	return unstatedIdle
+}
+
+// encode returns the request as it is written.
+func (r *Request) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(len(r.Body) + 1024)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	_ = r.Header.Write(&b) // a bytes.Buffer accepts every write
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+// Response is the answer to a request. Its body must be read to the end or closed.
+type Response struct {
+	Status int
+	Header http.Header
+	// Length is the length of the body; -1 when it is not stated.
+	Length int64
+	// Leaving says that the endpoint closes the connection after this answer although it has a length.
+	Leaving bool
+
+	body     io.ReadCloser
+	reader   *bufio.Reader
+	written  <-chan error
+	keepable bool
+	release  func(reusable bool)
+	done     bool
+}
+
+// Read reads the body. io.EOF means that the answer is complete.
+func (r *Response) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if err != nil {
+		r.finish(err == io.EOF)
+	}
+	return n, err
+}
+
+// Close gives up an answer that has not been read to its end; the connection is closed.
+func (r *Response) Close() { r.finish(false) }
+
+// Buffered says whether a Read returns at once with bytes that have already arrived.
+func (r *Response) Buffered() bool { return r.reader.Buffered() > 0 }
+
+func (r *Response) finish(complete bool) {
+	if r.done {
+		return
+	}
+	r.done = true
+	r.release(complete && r.keepable && r.reader.Buffered() == 0 && r.wholeRequestWritten())
+}
+
+// wholeRequestWritten waits a little for the rest of the request, without which the connection's next
+// request would be read as a part of this one.
+func (r *Response) wholeRequestWritten() bool {
+	select {
+	case err := <-r.written:
+		return err == nil
+	default:
+	}
+	timer := time.NewTimer(lateWrite)
+	defer timer.Stop()
+	select {
+	case err := <-r.written:
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
+// Reset says that the error is a connection that the endpoint reset.
+func Reset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -8,4 +8,5 @@
 	_ "github.com/chivewind/chivewind/modules/policy/baseline"
 	_ "github.com/chivewind/chivewind/modules/policy/tiered"
 	_ "github.com/chivewind/chivewind/modules/vmlist/http"
+	_ "github.com/chivewind/chivewind/platform/managed"
 )
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -24,6 +24,9 @@
 	DefaultLedgerRetention = config.Duration(7 * 24 * time.Hour)
 )
 
+// logLevels are the valid levels of the log.
+var logLevels = []string{"trace", "debug", "info", "warn", "error"}
+
 // ReadFile reads and validates a settings file.
 func ReadFile(file string) (*Settings, error) {
 	raw, err := os.ReadFile(file)
@@ -86,7 +89,7 @@
 	s.checkAddresses(doc)
 	s.checkModules(doc)
 	s.checkTLS(doc)
-	if !slices.Contains([]string{"trace", "debug", "info", "warn", "error"}, s.Log.Level) {
+	if !slices.Contains(logLevels, s.Log.Level) {
 		doc.Addf("log.level", "%q is not a level; valid: trace, debug, info, warn, error", s.Log.Level)
 	}
 	if v := s.Limits.EntryValidity.D(); v < time.Second || v > 5*time.Minute {
@@ -135,18 +138,23 @@
 		field  string
 		module *Module
 	}{{"kv", &s.KV}, {"vm_list", &s.VMList}, {"policy", &s.Policy}} {
-		if m.module.Use == "" {
-			doc.Addf(m.field+".use", "the module is missing; valid: %s", moduleIDs(m.field))
-			continue
-		}
-		info, err := chivewind.Lookup(m.module.Use)
-		if err != nil {
-			doc.Addf(m.field+".use", "%v", err)
-			continue
-		}
-		if err := chivewind.Decode(&m.module.With, info.New()); err != nil {
-			doc.Addf(m.field+".with", "%v", err)
-		}
+		checkModule(doc, m.field, m.module)
+	}
+}
+
+// checkModule checks that a module is registered and accepts its settings.
+func checkModule(doc *strictyaml.Document, field string, m *Module) {
+	if m.Use == "" {
+		doc.Addf(field+".use", "the module is missing; valid: %s", moduleIDs(field))
+		return
+	}
+	info, err := chivewind.Lookup(m.Use)
+	if err != nil {
+		doc.Addf(field+".use", "%v", err)
+		return
+	}
+	if err := chivewind.Decode(&m.With, info.New()); err != nil {
+		doc.Addf(field+".with", "%v", err)
 	}
 }
 
