Read unread prompt parts at one home and keep long prompts off strict streams

Change: a part that no engine has is read by its home, by rendezvous within the lane of the class; the loss for disturbed streams counts up to ten of them.

Ruled out: slow first events in the strict lane (99th percentile 658 ms, median 164 ms).

--- a/internal/placement/lanes.go
+++ b/internal/placement/lanes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chivewind/chivewind/internal/rendezvous"
 	"github.com/chivewind/chivewind/traffic"
 )
 
@@ -105,6 +106,38 @@
 	return cost
 }
 
+// isHome says whether an engine is the one that reads a prompt's shared parts first. All daemons agree on
+// it without asking each other, so that a part that nobody has yet is not read by several engines at once.
+// The home lies in the lane of the request's class.
+func (b *Board) isHome(p *pool, index int, r *Request, c chain, e *endpoint) bool {
+	if len(c.keys) < 2 {
+		return true
+	}
+	key := rendezvous.Hash(c.keys[len(c.keys)-2])
+	own := rendezvous.Weight(key, rendezvous.Hash(e.hash))
+	first, last := p.lane(b.strict[r.Class])
+	if index < first || index >= last {
+		return false
+	}
+	for _, other := range p.endpoints[first:last] {
+		if rendezvous.Weight(key, rendezvous.Hash(other.hash)) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// lane returns the range of the engines of a lane.
+func (p *pool) lane(strict bool) (first, last int) {
+	switch {
+	case p.lanes.strict == 0:
+		return 0, len(p.endpoints)
+	case strict:
+		return 0, p.lanes.strict
+	}
+	return min(p.lanes.strict, len(p.endpoints)), len(p.endpoints)
+}
+
 // readBudget is the number of tokens that an engine reads in the part of a strict pause that may be used.
 func (b *Board) readBudget(e *endpoint, p *pool) float64 {
 	return max(e.readingSpeed(p)*gapShare*float64(b.demand.strictGap)/float64(time.Millisecond), 1)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -48,8 +48,8 @@
 	lateWeight = 0.6
 	// maxLate bounds the loss of a late answer.
 	maxLate = 3.0
-	// rereadWeight is the loss for 1,000 shared prompt tokens that must be read although another engine
-	// has them, and fetchWeight the loss for copying them instead.
+	// rereadWeight is the loss for 1,000 shared prompt tokens that are read by an engine that is not their
+	// home, and fetchWeight the loss for copying them from another engine instead.
 	rereadWeight = 0.03
 	fetchWeight  = 0.006
 	// streamWeight is the loss when all slots of an engine are taken: each stream slows the others.
@@ -57,7 +57,7 @@
 	// disturbWeight is the loss for each stream with strict pauses that reading this prompt would break.
 	disturbWeight = 0.3
 	// maxDisturbed bounds the streams counted for it.
-	maxDisturbed = 4
+	maxDisturbed = 10
 	// laneWeight is the loss for leaving the request's lane.
 	laneWeight = 0.5
 	// zoneWeight is the loss for crossing availability zones.
@@ -224,7 +224,7 @@
 		if p.Engine.LinkBytesPerMs > 0 {
 			choice.Wait += ms(float64(moved) * p.Engine.TokenBytes / p.Engine.LinkBytesPerMs)
 		}
-	} else if shared := c.shared - min(c.tokens(kept), c.shared); shared > 0 && b.cache.known(c) {
+	} else if shared := c.shared - min(c.tokens(kept), c.shared); shared > 0 && !b.isHome(p, index, r, c, e) {
 		cost += rereadWeight * float64(shared) / 1000
 	}
 	choice.Wait += ms(float64(load.unread+choice.Read) / e.readingSpeed(p))
