--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,6 +31,13 @@
 	MarkDirty()
 	Size() int
 	StoreAge() time.Duration
+	// Self returns the daemon's identity and incarnation.
+	Self() (*peer.Identity, uint64)
+	// Schedulers returns the daemons that may place requests, the one to ask first at the front.
+	Schedulers() []*fleet.Member
+	// Send and SendTo send a datagram that may be lost.
+	Send(d *peer.Datagram, to *peer.Identity)
+	SendTo(d *peer.Datagram, daemon string) bool
 }
 
 // Options hold what a Server needs.
@@ -63,13 +70,15 @@
 	crashes  []*peer.Crash
 	// shares is the number of daemons that the retry reserve is divided among.
 	shares int
+	asking asking
+	hosted hosting
 }
 
 // New returns a Server. SetFleet must be called before the first request.
 func New(o Options) *Server {
 	s := &Server{
 		o: o, client: upstream.New(o.Wire.Recognize), stats: newStats(o.Metrics),
-		board: placement.New(o.Zone), suspects: poison.New(0),
+		board: placement.New(), suspects: poison.New(0), asking: newAsking(), hosted: hosting{},
 	}
 	s.setShares(1)
 	return s
@@ -102,6 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.board.FillReport(time.Now(), r)
+	r.Scheduler = s.asking.scheduler
 	r.Crashes = s.crashes
 	if len(s.crashes) > maxCrashReports {
 		s.crashes = s.crashes[len(s.crashes)-maxCrashReports:]
@@ -116,7 +126,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.board.HandleReport(now, r)
+	s.board.HandleReport(now, r, r.Scheduler == s.selfKey())
 	for _, c := range r.Crashes {
 		s.suspects.Add(now, poison.Fingerprint(c.Request), c.Endpoint, crashID(c.Endpoint, c.Id))
 	}
@@ -127,6 +137,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.board.ForgetDaemon(daemon)
+	s.hosted.drop(time.Now(), daemon)
 }
 
 // Active returns the number of requests in progress.
@@ -144,6 +155,7 @@
 	size := s.fleet.Size()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.hosted.expire(time.Now())
 	if size > s.shares {
 		// The reserve is not enlarged when daemons leave: those that left may have used theirs in this window.
 		s.setShares(size)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -64,28 +64,30 @@
 	now := time.Now()
 	s.budget.Request(now, req.pool.Name)
 	if req.pool.Engine != nil {
-		s.board.Arrived(now, req.route.Class, req.caller.Prompt)
+		s.board.Arrived(now, &req.wanted)
 	}
 }
 
 // run makes attempts until one ends the request.
 func (s *Server) run(ctx context.Context, req *request, answer *relay) end {
 	fingerprint := poison.Of(req.workspace.Name, req.method+" "+req.target, req.body)
-	var avoid []string
+	var avoid []uint32
 	for unsent := 0; ; {
 		if e, ok := s.blocked(ctx, req, fingerprint); ok {
 			return e
 		}
-		choice, ticket, ok := s.place(req, avoid)
-		if !ok {
-			return end{reply: notRunUnlessSent(req, "no endpoint", noEndpointRetryAfter)}
+		req.wanted.Avoid = avoid
+		choice, attempt, refused := s.place(ctx, req)
+		if refused != nil {
+			refused.reply = notRunUnlessSent(req, refused.reply.reason, refused.reply.retryAfter)
+			return *refused
 		}
-		res := s.attempt(ctx, req, choice, ticket, answer)
-		s.release(ticket, res.outcome, req, fingerprint, choice)
+		res := s.attempt(ctx, req, choice, attempt, answer)
+		s.release(attempt, res.outcome, req, fingerprint, choice)
 		if res.end != nil {
 			return *res.end
 		}
-		avoid = append(avoid, choice.Endpoint.ID)
+		avoid = append(avoid, choice.Hash)
 		s.o.Log.Info("attempt failed", "request", req.caller.Attempt, "endpoint", choice.Endpoint.ID, "sent", res.sent, "not_run", res.notRun, "cause", res.cause)
 		if !res.sent {
 			if unsent++; unsent >= maxUnsent {
@@ -132,32 +134,13 @@
 	return end{reply: &reply{status: http.StatusGatewayTimeout, reason: req.limit}}
 }
 
-// place chooses an endpoint and records the attempt there.
-func (s *Server) place(req *request, avoid []string) (placement.Choice, *placement.Ticket, bool) {
-	r := &placement.Request{
-		Class: req.route.Class, Zone: s.o.Zone, FirstByte: req.route.FirstByte, Gap: req.route.Gap, Avoid: avoid,
-	}
-	if req.pool.Engine != nil {
-		r.Prompt = req.caller.Prompt
-	}
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	choice, ok := s.board.Choose(now, req.pool.Name, r)
-	if !ok {
-		return choice, nil, false
-	}
-	ticket := s.board.Start(now, req.pool.Name, r, choice)
-	s.fleet.MarkDirty()
-	return choice, ticket, true
-}
-
 // release records the end of an attempt.
-func (s *Server) release(t *placement.Ticket, o placement.Outcome, req *request, f poison.Fingerprint, c placement.Choice) {
+func (s *Server) release(t *placed, o placement.Outcome, req *request, f poison.Fingerprint, c placement.Choice) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.End(now, o)
+	t.local.End(now, o)
+	s.tell(t, true, o)
 	s.fleet.MarkDirty()
 	if o == placement.Unreachable && req.sends > 0 {
 		id := uint64(c.Endpoint.Born)
@@ -181,11 +164,11 @@
 }
 
 // attempt sends the request to one endpoint.
-func (s *Server) attempt(ctx context.Context, req *request, c placement.Choice, t *placement.Ticket, answer *relay) result {
+func (s *Server) attempt(ctx context.Context, req *request, c placement.Choice, t *placed, answer *relay) result {
 	req.endpoint, req.read, req.predicted = c.Endpoint.ID, c.Read, c.Wait
 	out := Outgoing{
 		EndpointID: c.Endpoint.ID, Workspace: req.workspace.Name, Tier: req.tier, Engine: req.pool.Engine != nil,
-		Remaining: time.Until(req.deadline), FetchFrom: c.FetchFrom, LastEvent: answer.lastEvent,
+		Remaining: time.Until(req.deadline), FetchFrom: s.address(c.FetchFrom), LastEvent: answer.lastEvent,
 	}
 	if out.LastEvent == "" {
 		out.LastEvent = req.caller.LastEvent
@@ -267,10 +250,24 @@
 }
 
 // event records progress of an attempt.
-func (s *Server) event(t *placement.Ticket) {
+func (s *Server) event(t *placed) {
 	s.mu.Lock()
-	t.Event(time.Now())
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	first := !t.local.First()
+	t.local.Event(time.Now())
+	if first {
+		s.tell(t, false, placement.Served)
+	}
+}
+
+// address returns an endpoint's address; empty for none.
+func (s *Server) address(hash uint32) string {
+	if hash == 0 {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.board.Address(hash)
 }
 
 func (s *Server) retryLeft(req *request) bool {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -44,7 +44,7 @@
 }
 
 // relay relays one endpoint's answer.
-func (a *relay) relay(ctx context.Context, resp *upstream.Response, head Answer, t *placement.Ticket) result {
+func (a *relay) relay(ctx context.Context, resp *upstream.Response, head Answer, t *placed) result {
 	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
 	if success && !head.Stamped {
 		resp.Close()
@@ -57,7 +57,7 @@
 }
 
 // whole relays an answer that is not a stream.
-func (a *relay) whole(ctx context.Context, resp *upstream.Response, t *placement.Ticket, success bool) result {
+func (a *relay) whole(ctx context.Context, resp *upstream.Response, t *placed, success bool) result {
 	body, err := io.ReadAll(io.LimitReader(resp, wholeAnswer))
 	a.s.event(t)
 	if err != nil {
@@ -109,7 +109,7 @@
 }
 
 // stream relays events as they arrive.
-func (a *relay) stream(ctx context.Context, resp *upstream.Response, t *placement.Ticket) result {
+func (a *relay) stream(ctx context.Context, resp *upstream.Response, t *placed) result {
 	buffer := make([]byte, streamBuffer)
 	var pending []byte
 	for {
--- /dev/null
+++ b/internal/entry/schedule.go
@@ -0,0 +1,352 @@
+package entry
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivewind/chivewind/internal/fleet"
+	"github.com/chivewind/chivewind/internal/placement"
+	"github.com/chivewind/chivewind/peer"
+)
+
+// Requests for model engines are placed by one daemon, the scheduler, because each placement changes the
+// load that the next one depends on: with many daemons their reports are too old. The scheduler is only an
+// adviser. When it does not answer at once, the entry daemon places the request on its own view, and two
+// schedulers at the same time cost only latency.
+
+const (
+	// askTimeout is how long an answer of the scheduler is waited for before the question is sent again,
+	// and askTries the number of times. An answer takes a few milliseconds between availability zones.
+	askTimeout = 30 * time.Millisecond
+	askTries   = 2
+	// firstSuspension and lastSuspension bound the time for which a silent scheduler is not asked.
+	firstSuspension = 500 * time.Millisecond
+	lastSuspension  = 4 * time.Second
+	// repeatedProgress is the number of earlier events that each progress report repeats, because reports
+	// may be lost.
+	repeatedProgress = 4
+	// hostedGrace is how long after its deadline a request may still be reported as running.
+	hostedGrace = time.Second
+)
+
+// asking is the state of a daemon as a client of the scheduler. Server.mu guards it.
+type asking struct {
+	// scheduler names the process that was asked last; 0 when requests are placed here.
+	scheduler uint64
+	nextID    uint64
+	waiting   map[uint64]chan *peer.PlaceReply
+	suspended map[string]suspension
+	progress  []*peer.PlacedProgress
+}
+
+type suspension struct {
+	until  time.Time
+	length time.Duration
+}
+
+func newAsking() asking {
+	return asking{waiting: map[uint64]chan *peer.PlaceReply{}, suspended: map[string]suspension{}}
+}
+
+// placed is an attempt that has an endpoint.
+type placed struct {
+	local *placement.Ticket
+	// host is the scheduler that placed the attempt, and id its number there; nil when it was placed here.
+	host *peer.Identity
+	id   uint64
+}
+
+// processKey names a process of a daemon.
+func processKey(daemon string, incarnation uint64) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(daemon), incarnation))
+}
+
+func (s *Server) selfKey() uint64 {
+	self, incarnation := s.fleet.Self()
+	return processKey(self.Daemon, incarnation)
+}
+
+// place chooses an endpoint and records the attempt there. The end is not nil when the request is refused.
+func (s *Server) place(ctx context.Context, req *request) (placement.Choice, *placed, *end) {
+	if req.pool.Engine != nil {
+		if host := s.schedulerToAsk(); host != nil {
+			if choice, attempt, refused, ok := s.ask(ctx, req, host); ok {
+				return choice, attempt, refused
+			}
+		}
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	choice, ok := s.board.Choose(now, req.pool.Name, &req.wanted)
+	if !ok {
+		return choice, nil, &end{reply: notRun("no endpoint", noEndpointRetryAfter)}
+	}
+	ticket := s.board.Start(now, req.pool.Name, &req.wanted, choice, placement.Own)
+	s.fleet.MarkDirty()
+	return choice, &placed{local: ticket}, nil
+}
+
+// schedulerToAsk returns the daemon that places requests, or nil when it is this one or none answers.
+func (s *Server) schedulerToAsk() *fleet.Member {
+	self, _ := s.fleet.Self()
+	candidates := s.fleet.Schedulers()
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range candidates {
+		if m.Identity.Daemon == self.Daemon {
+			s.useScheduler(0)
+			return nil
+		}
+		if now.Before(s.asking.suspended[m.Identity.Daemon].until) {
+			continue
+		}
+		s.useScheduler(processKey(m.Identity.Daemon, m.Incarnation))
+		return m
+	}
+	s.useScheduler(0)
+	return nil
+}
+
+// useScheduler records who places requests. mu is held.
+func (s *Server) useScheduler(key uint64) {
+	if s.asking.scheduler != key {
+		s.asking.scheduler = key
+		s.board.NewScheduler()
+		s.stats.count("chivewind_entry_scheduler_changes_total")
+	}
+}
+
+// ask lets the scheduler place a request. ok is false when it gave no usable answer.
+func (s *Server) ask(ctx context.Context, req *request, host *fleet.Member) (choice placement.Choice, attempt *placed, refused *end, ok bool) {
+	replies := make(chan *peer.PlaceReply, 1)
+	question := s.question(req)
+	s.mu.Lock()
+	s.asking.nextID++
+	question.Id = s.asking.nextID
+	s.asking.waiting[question.Id] = replies
+	question.Avoid = append(s.board.Unreachable(time.Now(), req.pool.Name), req.wanted.Avoid...)
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.asking.waiting, question.Id)
+		s.mu.Unlock()
+	}()
+	reply := s.await(ctx, question, host, replies)
+	if reply == nil {
+		if ctx.Err() == nil {
+			s.suspend(host.Identity.Daemon)
+		}
+		return choice, nil, nil, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.asking.suspended, host.Identity.Daemon)
+	if reply.Endpoint == 0 {
+		wait := time.Duration(reply.RetryAfterMs) * time.Millisecond
+		return choice, nil, &end{reply: notRun("no endpoint in time", wait)}, true
+	}
+	choice, known := s.board.Resolve(placement.Choice{
+		Hash: reply.Endpoint, FetchFrom: reply.FetchFrom, Read: int(reply.ReadTokens), Wait: time.Duration(reply.WaitUs) * time.Microsecond,
+	})
+	attempt = &placed{host: host.Identity, id: question.Id}
+	if !known {
+		// The scheduler knows an endpoint that this daemon has not heard of yet.
+		s.tell(attempt, true, placement.Abandoned)
+		return choice, nil, nil, false
+	}
+	owner := placement.Own
+	if s.asking.scheduler == reply.Scheduler {
+		owner = placement.Scheduled
+	}
+	attempt.local = s.board.Start(time.Now(), req.pool.Name, &req.wanted, choice, owner)
+	return choice, attempt, nil, true
+}
+
+// question describes a request for the scheduler.
+func (s *Server) question(req *request) *peer.PlaceRequest {
+	self, incarnation := s.fleet.Self()
+	w := &req.wanted
+	q := &peer.PlaceRequest{
+		Daemon: self.Daemon, Incarnation: incarnation, Pool: req.pool.Name, Class: w.Class, Zone: w.Zone,
+		PromptTokens: uint32(w.Chain.Total), SharedTokens: uint32(w.Chain.Shared), OutputTokens: uint32(w.Output),
+		Parts: w.Chain.Keys, FirstByteUs: uint32(w.FirstByte.Microseconds()), Tier: uint32(max(req.tier, 0)),
+		RemainingMs: uint32(max(time.Until(req.deadline).Milliseconds(), 0)),
+	}
+	for _, end := range w.Chain.Ends {
+		q.PartEnds = append(q.PartEnds, uint32(end))
+	}
+	return q
+}
+
+// await sends the question until an answer arrives; nil when none does.
+func (s *Server) await(ctx context.Context, q *peer.PlaceRequest, host *fleet.Member, replies <-chan *peer.PlaceReply) *peer.PlaceReply {
+	d := &peer.Datagram{Message: &peer.Datagram_Place{Place: q}}
+	for range askTries {
+		s.fleet.Send(d, host.Identity)
+		timer := time.NewTimer(askTimeout)
+		select {
+		case reply := <-replies:
+			timer.Stop()
+			return reply
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+	return nil
+}
+
+// suspend stops asking a scheduler that gave no answer.
+func (s *Server) suspend(daemon string) {
+	s.stats.count("chivewind_entry_scheduler_timeouts_total")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	last := s.asking.suspended[daemon]
+	if now.Before(last.until) {
+		return
+	}
+	next := suspension{length: min(max(2*last.length, firstSuspension), lastSuspension)}
+	next.until = now.Add(next.length)
+	s.asking.suspended[daemon] = next
+	s.o.Log.Info("the scheduler gave no answer", "scheduler", daemon, "suspended_ms", next.length.Milliseconds())
+}
+
+// tell reports an event of an attempt to the scheduler that placed it. mu is held.
+func (s *Server) tell(t *placed, ended bool, o placement.Outcome) {
+	if t.host == nil {
+		return
+	}
+	self, incarnation := s.fleet.Self()
+	item := &peer.PlacedProgress{Id: t.id, Ended: ended, Outcome: uint32(o)}
+	s.asking.progress = append(s.asking.progress, item)
+	if extra := len(s.asking.progress) - repeatedProgress - 1; extra > 0 {
+		s.asking.progress = append(s.asking.progress[:0], s.asking.progress[extra:]...)
+	}
+	d := &peer.Datagram{Message: &peer.Datagram_Progress{Progress: &peer.ProgressReport{
+		Daemon: self.Daemon, Incarnation: incarnation, Items: s.asking.progress,
+	}}}
+	s.fleet.Send(d, t.host)
+}
+
+// hostedKey names a request of another daemon.
+type hostedKey struct {
+	daemon string
+	id     uint64
+}
+
+// hostedRequest is a request that this daemon placed for another one.
+type hostedRequest struct {
+	ticket      *placement.Ticket
+	incarnation uint64
+	expires     time.Time
+	reply       *peer.PlaceReply
+}
+
+// hosting is the state of a daemon as the scheduler of others. Server.mu guards it.
+type hosting map[hostedKey]*hostedRequest
+
+// drop forgets the requests of a daemon.
+func (h hosting) drop(now time.Time, daemon string) {
+	for key, r := range h {
+		if key.daemon == daemon {
+			r.ticket.End(now, placement.Abandoned)
+			delete(h, key)
+		}
+	}
+}
+
+// expire forgets requests whose end was never reported.
+func (h hosting) expire(now time.Time) {
+	for key, r := range h {
+		if now.After(r.expires) {
+			r.ticket.End(now, placement.Abandoned)
+			delete(h, key)
+		}
+	}
+}
+
+// HandleDatagram implements fleet.Reporter.
+func (s *Server) HandleDatagram(d *peer.Datagram) {
+	switch m := d.Message.(type) {
+	case *peer.Datagram_Place:
+		if reply := s.host(m.Place); reply != nil {
+			s.fleet.SendTo(&peer.Datagram{Message: &peer.Datagram_Placed{Placed: reply}}, m.Place.Daemon)
+		}
+	case *peer.Datagram_Placed:
+		s.mu.Lock()
+		if replies := s.asking.waiting[m.Placed.Id]; replies != nil {
+			select {
+			case replies <- m.Placed:
+			default:
+			}
+		}
+		s.mu.Unlock()
+	case *peer.Datagram_Progress:
+		s.progress(m.Progress)
+	}
+}
+
+// host places a request of another daemon. A repeated question gets the same answer.
+func (s *Server) host(q *peer.PlaceRequest) *peer.PlaceReply {
+	now := time.Now()
+	key := hostedKey{q.Daemon, q.Id}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.hosted[key]; known != nil {
+		if known.incarnation == q.Incarnation {
+			return known.reply
+		}
+		known.ticket.End(now, placement.Abandoned)
+		delete(s.hosted, key)
+	}
+	r := &placement.Request{
+		Class: q.Class, Zone: q.Zone, Output: int(q.OutputTokens), FirstByte: time.Duration(q.FirstByteUs) * time.Microsecond, Avoid: q.Avoid,
+		Chain: placement.Chain{Keys: q.Parts, Total: int(q.PromptTokens), Shared: int(q.SharedTokens)},
+	}
+	if len(q.PartEnds) != len(q.Parts) {
+		return nil
+	}
+	for _, end := range q.PartEnds {
+		r.Chain.Ends = append(r.Chain.Ends, int(end))
+	}
+	reply := &peer.PlaceReply{Id: q.Id, Scheduler: s.selfKey()}
+	choice, ok := s.board.Choose(now, q.Pool, r)
+	if !ok {
+		reply.RetryAfterMs = uint32(noEndpointRetryAfter.Milliseconds())
+		return reply
+	}
+	reply.Endpoint, reply.FetchFrom = choice.Hash, choice.FetchFrom
+	reply.ReadTokens, reply.WaitUs = uint32(max(choice.Read, 0)), uint32(choice.Wait.Microseconds())
+	s.hosted[key] = &hostedRequest{
+		ticket: s.board.Start(now, q.Pool, r, choice, placement.Hosted), incarnation: q.Incarnation, reply: reply,
+		expires: now.Add(time.Duration(q.RemainingMs)*time.Millisecond + hostedGrace),
+	}
+	return reply
+}
+
+// progress records events of requests that this daemon placed.
+func (s *Server) progress(p *peer.ProgressReport) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, item := range p.Items {
+		key := hostedKey{p.Daemon, item.Id}
+		r := s.hosted[key]
+		if r == nil || r.incarnation != p.Incarnation {
+			continue
+		}
+		if !item.Ended {
+			r.ticket.Event(now)
+			continue
+		}
+		r.ticket.End(now, placement.Outcome(item.Outcome))
+		delete(s.hosted, key)
+	}
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/chivewind/chivewind/internal/placement"
 	"github.com/chivewind/chivewind/traffic"
 )
 
@@ -31,6 +32,8 @@
 	deadline time.Time
 	// limit says whose time ends at the deadline.
 	limit string
+	// wanted describes the request for placement.
+	wanted placement.Request
 
 	// sends counts endpoints that may have received the request.
 	sends      int
@@ -106,6 +109,14 @@
 	}
 	req.pool = view.Table.Pools[pickPool(route)]
 	req.setDeadline()
+	req.wanted = placement.Request{Class: placement.HashClass(route.Class), Zone: s.o.Zone, FirstByte: route.FirstByte}
+	if p := caller.Prompt; p != nil && req.pool.Engine != nil {
+		req.wanted.Chain = placement.NewChain(p)
+		req.wanted.Output = p.MaxOutput
+		if p.OutputHint > 0 {
+			req.wanted.Output = p.OutputHint
+		}
+	}
 	return req, nil
 }
 
--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -34,6 +34,8 @@
 	maintainInterval = time.Second
 	// headerTimeout bounds the time in which a caller sends the head of a request.
 	headerTimeout = 10 * time.Second
+	// thousandths is the unit of a daemon's capacity, in parts of a core.
+	thousandths = 1000
 	// maxHeader bounds the head of a request.
 	maxHeader = 64 << 10
 )
@@ -83,6 +85,7 @@
 		Self: &peer.Identity{
 			Daemon: s.ID, Zone: s.Zone, Region: s.Region, EntryAddress: s.Listen.Callers,
 			ControlAddress: s.Listen.Control, ReportAddress: s.Listen.Reports,
+			Capacity: uint32(s.Process.Share * float64(s.Process.Cores) * thousandths),
 		},
 		Codec: fleet.Codec{
 			TableKey: managed.KeyTable, EndpointPrefix: managed.PrefixEndpoints, DaemonPrefix: managed.PrefixDaemons,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,8 @@
 	FillReport(*peer.Report)
 	// HandleReport takes the load of another daemon.
 	HandleReport(*peer.Report)
+	// HandleDatagram takes a message of the scheduling protocol.
+	HandleDatagram(*peer.Datagram)
 	// ForgetDaemon drops the load of a daemon that is silent.
 	ForgetDaemon(daemon string)
 }
@@ -51,7 +54,7 @@
 	o           Options
 	incarnation uint64
 	view        atomic.Pointer[View]
-	socket      net.PacketConn
+	socket      *net.UDPConn
 	dirty       chan struct{}
 
 	// publishMu serializes calls of Changed.
@@ -63,15 +66,26 @@
 	self     peer.DaemonState
 	sequence uint64
 	silent   map[string]bool
-	// contact is when the store last answered; contactLost is the start of an outage.
+	// recent are keys that changed lately; reports carry them until their time is up.
+	recent []recentChange
+	// registered are the daemons with a key in the last listing.
+	registered map[string]bool
+	// contact is when the store last answered; failing says that the last call has failed.
 	contact time.Time
-	pulling bool
-	pullAt  time.Time
+	failing bool
+	// watchFrom is the revision up to which this daemon has itself read the store.
+	watchFrom int64
+	pulling   bool
+	pullAt    time.Time
 }
 
 // New returns a Fleet that knows nothing yet. It binds the address for reports.
 func New(o Options) (*Fleet, error) {
-	socket, err := net.ListenPacket("udp4", o.Self.ReportAddress)
+	address, err := net.ResolveUDPAddr("udp4", o.Self.ReportAddress)
+	if err != nil {
+		return nil, err
+	}
+	socket, err := net.ListenUDP("udp4", address)
 	if err != nil {
 		return nil, err
 	}
@@ -98,7 +112,7 @@
 	go f.receive()
 	go f.report(ctx)
 	go f.follow(ctx)
-	go f.join(ctx)
+	go f.exchange(ctx)
 	go f.register(ctx)
 	context.AfterFunc(ctx, func() { _ = f.socket.Close() })
 }
@@ -142,6 +156,17 @@
 	return f.members.EntryAddresses(time.Now(), zone, f.self == peer.DaemonState_DAEMON_STATE_READY)
 }
 
+// Schedulers returns the daemons that may place requests, the one to ask first at the front, and whether
+// the first one is this daemon.
+func (f *Fleet) Schedulers() []*Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members.Schedulers(time.Now(), f.self == peer.DaemonState_DAEMON_STATE_READY)
+}
+
+// Self returns this daemon's identity and incarnation.
+func (f *Fleet) Self() (*peer.Identity, uint64) { return f.o.Self, f.incarnation }
+
 // Size returns the number of live daemons with this one.
 func (f *Fleet) Size() int {
 	f.mu.Lock()
@@ -149,11 +174,18 @@
 	return len(f.members.Live(time.Now())) + 1
 }
 
-// StoreAge returns the time since the store last answered.
+// StoreAge returns the time since the store last answered this daemon or a watcher that it hears.
 func (f *Fleet) StoreAge() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(f.contact)
+	now := time.Now()
+	contact := f.contact
+	for _, member := range f.members.Live(now) {
+		if member.StoreContact.After(contact) {
+			contact = member.StoreContact
+		}
+	}
+	return now.Sub(contact)
 }
 
 // change runs an update of the state and publishes a new view when it says that something changed.
@@ -165,7 +197,6 @@
 	changed := update(now, f.state)
 	var view *View
 	if changed {
-		f.learnDaemons()
 		view = f.state.View(now)
 		if next := f.state.NextLapse(now); !next.IsZero() {
 			time.AfterFunc(next.Sub(now), func() { f.change(func(time.Time, *State) bool { return true }) })
@@ -175,10 +206,13 @@
 	if view == nil {
 		return
 	}
-	f.logChange(f.view.Load(), view)
+	old := f.view.Load()
+	f.logChange(old, view)
 	f.view.Store(view)
 	f.o.Changed(view)
-	f.MarkDirty()
+	if view.Revision > old.Revision {
+		f.announce(old.Revision)
+	}
 }
 
 // logChange writes a line for a new routing table and for endpoints that came or left.
@@ -198,12 +232,20 @@
 	}
 }
 
-// learnDaemons reads the daemons' keys. mu is held.
-func (f *Fleet) learnDaemons() {
-	for _, raw := range f.state.Daemons() {
+// learnDaemons reads the daemons' keys of a listing.
+func (f *Fleet) learnDaemons(listed []platform.KeyValue) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.registered = map[string]bool{}
+	for _, kv := range listed {
+		name, ok := strings.CutPrefix(kv.Key, f.o.Codec.DaemonPrefix)
+		if !ok {
+			continue
+		}
+		f.registered[name] = true
 		id := &peer.Identity{}
-		if err := proto.Unmarshal(raw, id); err != nil {
-			f.o.Log.Warn("the key of a daemon was ignored", "error", err)
+		if err := proto.Unmarshal(kv.Value, id); err != nil {
+			f.o.Log.Warn("the key of a daemon was ignored", "key", kv.Key, "error", err)
 			continue
 		}
 		f.members.Learn(id)
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -16,46 +18,99 @@
 	// force within two seconds of the store's confirmation, also right after an outage.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 600 * time.Millisecond
+	// retryBudget is the number of calls a second that the daemons beside the watchers make together while
+	// the store is down.
+	retryBudget = 25
 	// outageAfter is the silence of the store after which entries may have lapsed: endpoints renew theirs
 	// about every second, and three missed renewals end one.
 	outageAfter = 2 * time.Second
+	// watchFreshness is the age of a watcher's last contact with the store, and of its last report, after
+	// which another daemon watches for itself. A watch without events is answered every two seconds.
+	watchFreshness = 3 * time.Second
+	// watchCheck is the time between two looks whether this daemon has to watch.
+	watchCheck = 200 * time.Millisecond
+	// settleTime is how long a starting daemon waits for the others' reports before it watches the store.
+	settleTime = 700 * time.Millisecond
 	// leaseTTL is how long the key of a daemon outlives it, and leaseRenewal the time between two renewals.
-	leaseTTL     = 15 * time.Second
-	leaseRenewal = 5 * time.Second
+	// The key is read only by daemons whose seeds are gone.
+	leaseTTL     = 60 * time.Second
+	leaseRenewal = 20 * time.Second
+	// isolatedList is the time between two listings of a daemon that hears no other.
+	isolatedList = 5 * time.Second
 )
 
-// follow keeps the state equal to the store's: a listing, then a watch from its revision, and again after
-// the watch has failed.
+// follow keeps the state equal to the store's: a listing, then a watch from its revision while this daemon
+// has to watch, and a listing again when the history is gone.
 func (f *Fleet) follow(ctx context.Context) {
 	retry := firstRetry
+	listed := false
 	for ctx.Err() == nil {
-		revision, err := f.list(ctx)
-		if err == nil {
-			retry = firstRetry
-			err = f.watch(ctx, revision)
-		}
-		if ctx.Err() != nil {
-			return
+		var err error
+		switch {
+		case !listed:
+			if err = f.list(ctx); err == nil {
+				listed = true
+				sleep(ctx, settleTime)
+			}
+		case f.mustWatch():
+			err = f.watch(ctx)
+			listed = !errors.Is(err, platform.ErrCompacted)
+		default:
+			sleep(ctx, watchCheck)
 		}
-		f.count("chivewind_store_failures_total")
-		if errors.Is(err, platform.ErrCompacted) {
+		if err == nil || ctx.Err() != nil {
+			retry = firstRetry
 			continue
 		}
-		f.o.Log.Debug("the store gave no answer", "error", err, "retry_in", retry.String())
-		sleep(ctx, retry)
-		retry = min(2*retry, lastRetry)
+		f.failed(err)
+		if listed || !errors.Is(err, platform.ErrCompacted) {
+			sleep(ctx, f.retryPause(retry))
+			retry = min(2*retry, lastRetry)
+		}
+	}
+}
+
+func (f *Fleet) mustWatch() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members.MustWatch(time.Now(), watchFreshness)
+}
+
+// retryPause returns the pause before the next try to reach the store. Watchers try often; the others
+// hear of its return from them.
+func (f *Fleet) retryPause(retry time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if f.state.table == nil || slices.Contains(f.members.Watchers(now), f.o.Self.Daemon) {
+		return retry
+	}
+	return max(retry, time.Duration(len(f.members.Live(now)))*time.Second/retryBudget)
+}
+
+// failed records that the store gave no answer.
+func (f *Fleet) failed(err error) {
+	f.count("chivewind_store_failures_total")
+	f.mu.Lock()
+	first := !f.failing
+	f.failing = true
+	f.mu.Unlock()
+	if first {
+		f.o.Log.Warn("the store gave no answer", "error", err)
+		// The others learn at once that this daemon cannot watch for them.
+		f.sendAll(f.nextReport(false))
 	}
 }
 
 // list reads all keys. Pages are not a snapshot, so the watch starts at the revision of the first one.
-func (f *Fleet) list(ctx context.Context) (int64, error) {
+func (f *Fleet) list(ctx context.Context) error {
 	var all []platform.KeyValue
 	var first int64
 	request := platform.RangeRequest{Prefix: true}
 	for {
 		page, err := f.o.KV.Range(ctx, request)
 		if err != nil {
-			return 0, err
+			return err
 		}
 		if first == 0 {
 			first = page.Revision
@@ -67,15 +122,23 @@
 		request.After = page.KVs[len(page.KVs)-1].Key
 	}
 	f.answered()
+	f.learnDaemons(all)
+	f.mu.Lock()
+	f.watchFrom = max(f.watchFrom, first)
+	f.mu.Unlock()
 	f.change(func(now time.Time, s *State) bool { return s.ApplyListing(now, first, all) })
-	return first, nil
+	return nil
 }
 
-// watch applies events until the watch fails.
-func (f *Fleet) watch(ctx context.Context, revision int64) error {
+// watch applies events until the watch fails or another daemon watches for the fleet.
+func (f *Fleet) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	replies, err := f.o.KV.Watch(ctx, "", revision+1)
+	f.mu.Lock()
+	// What other daemons told is complete up to the state's revision.
+	from := max(f.watchFrom, f.state.Revision())
+	f.mu.Unlock()
+	replies, err := f.o.KV.Watch(ctx, "", from+1)
 	if err != nil {
 		return err
 	}
@@ -85,6 +148,12 @@
 		}
 		f.answered()
 		f.change(func(now time.Time, s *State) bool { return applyEvents(now, s, reply.Events) })
+		f.mu.Lock()
+		f.watchFrom = max(f.watchFrom, reply.Revision)
+		f.mu.Unlock()
+		if !f.mustWatch() {
+			return nil
+		}
 	}
 	return ctx.Err()
 }
@@ -99,7 +168,10 @@
 		case value == nil:
 			value = []byte{}
 		}
-		changed = s.Apply(now, e.KV.Key, e.KV.ModRevision, value) || changed
+		if s.relevant(e.KV.Key) {
+			changed = s.Apply(now, e.KV.Key, e.KV.ModRevision, value) || changed
+			s.Advance(e.KV.ModRevision)
+		}
 	}
 	return changed
 }
@@ -109,11 +181,11 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if silence := now.Sub(f.contact); !f.contact.IsZero() && silence > outageAfter {
+	if f.failing && !f.contact.IsZero() && now.Sub(f.contact) > outageAfter {
 		f.state.StoreReturned(now)
-		f.o.Log.Info("the store answers again", "silence", silence.Round(time.Millisecond).String())
+		f.o.Log.Info("the store answers again", "silence", now.Sub(f.contact).Round(time.Millisecond).String())
 	}
-	f.contact = now
+	f.contact, f.failing = now, false
 }
 
 // register keeps the daemon's key in the store under a lease, so that daemons that start later find it.
@@ -160,15 +232,39 @@
 	return lease, nil
 }
 
-// join asks the seeds for their state until a routing table is known, for a start while the store is down.
-func (f *Fleet) join(ctx context.Context) {
-	for ctx.Err() == nil && f.View().Table == nil {
+// exchange takes the others' state at the start, from the seeds, and now and then from a daemon picked at
+// random, so that daemons learn of each other and lost messages are made up for.
+func (f *Fleet) exchange(ctx context.Context) {
+	for _, pause := range []time.Duration{0, 300 * time.Millisecond, time.Second, 2 * time.Second} {
+		sleep(ctx, pause)
 		for _, address := range f.o.Seeds {
-			if address != f.o.Self.ControlAddress && f.View().Table == nil {
+			if address != f.o.Self.ControlAddress && ctx.Err() == nil && f.pull(ctx, &peer.Identity{ControlAddress: address}) {
+				break
+			}
+		}
+	}
+	const interval = 5 * time.Second
+	lastList := time.Now()
+	for ctx.Err() == nil {
+		sleep(ctx, interval)
+		f.mu.Lock()
+		live := f.members.Live(time.Now())
+		f.mu.Unlock()
+		if len(live) > 0 {
+			f.pull(ctx, live[rand.IntN(len(live))].Identity)
+			continue
+		}
+		for _, address := range f.o.Seeds {
+			if address != f.o.Self.ControlAddress {
 				f.pull(ctx, &peer.Identity{ControlAddress: address})
 			}
 		}
-		sleep(ctx, lastRetry)
+		if time.Since(lastList) >= isolatedList {
+			lastList = time.Now()
+			if err := f.list(ctx); err != nil {
+				f.failed(err)
+			}
+		}
 	}
 }
 
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -40,16 +42,80 @@
 		size := f.sendAll(f.nextReport(n%identityEvery == 0))
 		f.dropSilent()
 		sleep(ctx, max(minReportInterval, time.Duration(size)*time.Second/reportBudget))
-		timer.Reset(heartbeatInterval(size + 1))
+		timer.Reset(f.heartbeat(size + 1))
 	}
 }
 
+// heartbeat returns the time until the next report without a change. Others rely on a watcher's reports.
+func (f *Fleet) heartbeat(size int) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.members.MustWatch(time.Now(), watchFreshness) {
+		return HeartbeatInterval
+	}
+	return heartbeatInterval(size)
+}
+
+// recentChange is a step of the state's revision with the keys that changed in it.
+type recentChange struct {
+	since   int64
+	entries []*peer.Document
+	until   time.Time
+}
+
+const (
+	// recentAge is how long reports repeat changed keys.
+	recentAge = time.Second
+	// maxRecentBytes bounds the changed keys in one report; daemons ask for what does not fit.
+	maxRecentBytes = 4 << 10
+)
+
+// announce tells the others at once of the keys that have changed since a revision.
+func (f *Fleet) announce(since int64) {
+	f.mu.Lock()
+	change := recentChange{since: since, until: time.Now().Add(recentAge)}
+	for _, e := range f.state.Since(since) {
+		change.entries = append(change.entries, &peer.Document{Name: e.Key, Version: uint64(e.Revision), Content: e.Value})
+	}
+	f.recent = append(f.recent, change)
+	watching := f.members.MustWatch(time.Now(), watchFreshness)
+	f.mu.Unlock()
+	if watching {
+		f.sendAll(f.nextReport(false))
+	}
+}
+
+// recentEntries returns the keys that changed after a revision, or nothing when they are too large for a
+// report. mu is held.
+func (f *Fleet) recentEntries(now time.Time) (entries []*peer.Document, since int64) {
+	f.recent = slices.DeleteFunc(f.recent, func(c recentChange) bool { return now.After(c.until) })
+	size := 0
+	for i := len(f.recent) - 1; i >= 0; i-- {
+		for _, e := range f.recent[i].entries {
+			size += len(e.Name) + len(e.Content)
+		}
+		if size > maxRecentBytes {
+			break
+		}
+		entries = append(entries, f.recent[i].entries...)
+		since = f.recent[i].since
+	}
+	return entries, since
+}
+
 // nextReport returns the daemon's present state.
 func (f *Fleet) nextReport(withIdentity bool) *peer.Report {
+	const unknownAge = 1 << 30
+	now := time.Now()
 	f.mu.Lock()
 	f.sequence++
 	r := &peer.Report{
 		Daemon: f.o.Self.Daemon, Incarnation: f.incarnation, Sequence: f.sequence, State: f.self, Revision: f.state.Revision(),
+		StoreAgeMs: unknownAge,
+	}
+	r.Entries, r.EntriesSince = f.recentEntries(now)
+	if !f.contact.IsZero() && !f.failing {
+		r.StoreAgeMs = uint32(min(now.Sub(f.contact).Milliseconds(), unknownAge))
 	}
 	f.mu.Unlock()
 	if withIdentity {
@@ -61,26 +127,45 @@
 
 // sendAll sends a report to all known daemons, also to silent ones, and returns their number.
 func (f *Fleet) sendAll(r *peer.Report) int {
-	raw, err := proto.Marshal(r)
-	if err != nil {
-		f.o.Log.Error("a report was not encoded", "error", err)
-		return 0
-	}
 	f.mu.Lock()
 	all := f.members.All()
 	f.mu.Unlock()
-	for _, id := range all {
-		address, err := net.ResolveUDPAddr("udp4", id.ReportAddress)
+	f.send(&peer.Datagram{Message: &peer.Datagram_Report{Report: r}}, all...)
+	return len(all)
+}
+
+// Send sends a message of the scheduling protocol. It may be lost.
+func (f *Fleet) Send(d *peer.Datagram, to *peer.Identity) { f.send(d, to) }
+
+// SendTo sends a message to a daemon by its name. It returns false when the daemon is not known.
+func (f *Fleet) SendTo(d *peer.Datagram, daemon string) bool {
+	f.mu.Lock()
+	member := f.members.members[daemon]
+	f.mu.Unlock()
+	if member == nil {
+		return false
+	}
+	f.send(d, member.Identity)
+	return true
+}
+
+func (f *Fleet) send(d *peer.Datagram, to ...*peer.Identity) {
+	raw, err := proto.Marshal(d)
+	if err != nil {
+		f.o.Log.Error("a message was not encoded", "error", err)
+		return
+	}
+	for _, id := range to {
+		address, err := netip.ParseAddrPort(id.ReportAddress)
 		if err != nil {
 			f.o.Log.Warn("a daemon's address was ignored", "daemon", id.Daemon, "error", err)
 			continue
 		}
 		// A lost datagram is made up for by the next one.
-		if _, err := f.socket.WriteTo(raw, address); err != nil {
+		if _, err := f.socket.WriteToUDPAddrPort(raw, address); err != nil {
 			f.count("chivewind_report_send_failures_total")
 		}
 	}
-	return len(all)
 }
 
 // dropSilent forgets the load of daemons that are no longer heard.
@@ -96,10 +181,7 @@
 		}
 		f.silent[id] = silent
 	}
-	f.members.Forget(now, forgetAfter, func(daemon string) bool {
-		r := f.state.records[f.o.Codec.DaemonPrefix+daemon]
-		return r != nil && r.value != nil
-	})
+	f.members.Forget(now, forgetAfter, func(daemon string) bool { return f.registered[daemon] })
 	f.mu.Unlock()
 	for _, id := range gone {
 		f.o.Log.Info("daemon silent", "daemon", id)
@@ -111,7 +193,7 @@
 func (f *Fleet) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := f.socket.ReadFrom(buffer)
+		n, _, err := f.socket.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -119,17 +201,30 @@
 			f.count("chivewind_report_receive_failures_total")
 			continue
 		}
-		r := &peer.Report{}
-		if err := proto.Unmarshal(buffer[:n], r); err != nil {
+		d := &peer.Datagram{}
+		if err := proto.Unmarshal(buffer[:n], d); err != nil {
 			f.count("chivewind_report_rejected_total")
 			continue
 		}
-		f.handleReport(r)
+		if r := d.GetReport(); r != nil {
+			f.handleReport(r)
+			continue
+		}
+		f.o.Reporter.HandleDatagram(d)
 	}
 }
 
 func (f *Fleet) handleReport(r *peer.Report) {
 	now := time.Now()
+	if len(r.Entries) > 0 {
+		f.change(func(now time.Time, s *State) bool {
+			changed := applyDocuments(now, s, r.Entries)
+			if r.EntriesSince > 0 && s.Revision() >= r.EntriesSince {
+				s.Advance(r.Revision)
+			}
+			return changed
+		})
+	}
 	f.mu.Lock()
 	member := f.members.Receive(now, r)
 	var from *peer.Identity
@@ -166,37 +261,68 @@
 }
 
 // pull takes the keys that are newer at a peer.
-func (f *Fleet) pull(ctx context.Context, from *peer.Identity) {
+// It returns false when the peer gave no answer.
+func (f *Fleet) pull(ctx context.Context, from *peer.Identity) bool {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	client, err := f.o.Peers.Client(ctx, &peer.Member{Id: from.Daemon, PeerAddress: from.ControlAddress})
 	if err != nil {
 		f.o.Log.Debug("a peer cannot be called", "peer", from.ControlAddress, "error", err)
-		return
+		return false
 	}
 	f.mu.Lock()
 	since := f.state.Revision()
 	f.mu.Unlock()
 	reply, err := client.Sync(ctx, &peer.SyncRequest{
-		From: f.o.Self.Daemon, Versions: []*peer.DocumentVersion{{Name: documentState, Version: uint64(since)}},
+		From: f.o.Self.Daemon, Members: []*peer.Member{memberOf(f.o.Self)}, Versions: []*peer.DocumentVersion{{Name: documentState, Version: uint64(since)}},
 	})
 	if err != nil {
 		f.count("chivewind_peer_pull_failures_total")
 		f.o.Log.Debug("a peer gave no state", "peer", from.ControlAddress, "error", err)
-		return
+		return false
 	}
 	f.count("chivewind_peer_pulls_total")
+	f.mu.Lock()
+	for _, m := range reply.Members {
+		f.members.Learn(identityOf(m))
+	}
+	f.mu.Unlock()
 	f.change(func(now time.Time, s *State) bool {
-		changed := false
-		for _, d := range reply.Documents {
-			value := d.Content
-			if len(value) == 0 {
-				value = nil
+		changed := applyDocuments(now, s, reply.Documents)
+		for _, v := range reply.Versions {
+			if v.Name == documentState {
+				s.Advance(int64(v.Version))
 			}
-			changed = s.Apply(now, d.Name, int64(d.Version), value) || changed
 		}
 		return changed
 	})
+	return true
+}
+
+// applyDocuments applies keys that another daemon sent. An empty content is a removed key.
+func applyDocuments(now time.Time, s *State, documents []*peer.Document) bool {
+	changed := false
+	for _, d := range documents {
+		value := d.Content
+		if len(value) == 0 {
+			value = nil
+		}
+		changed = s.Apply(now, d.Name, int64(d.Version), value) || changed
+	}
+	return changed
+}
+
+// identityOf and memberOf translate between the two messages that say where a daemon is reached.
+func identityOf(m *peer.Member) *peer.Identity {
+	return &peer.Identity{
+		Daemon: m.Id, Zone: m.Zone, Region: m.Region, EntryAddress: m.EntryUrl, ControlAddress: m.PeerAddress, ReportAddress: m.GossipAddress,
+	}
+}
+
+func memberOf(id *peer.Identity) *peer.Member {
+	return &peer.Member{
+		Id: id.Daemon, Zone: id.Zone, Region: id.Region, EntryUrl: id.EntryAddress, PeerAddress: id.ControlAddress, GossipAddress: id.ReportAddress,
+	}
 }
 
 // documentState names the version of the whole state in a Sync call.
@@ -212,7 +338,13 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := &peer.SyncReply{Versions: []*peer.DocumentVersion{{Name: documentState, Version: uint64(f.state.Revision())}}}
+	for _, m := range r.Members {
+		f.members.Learn(identityOf(m))
+	}
+	reply := &peer.SyncReply{Members: []*peer.Member{memberOf(f.o.Self)}, Versions: []*peer.DocumentVersion{{Name: documentState, Version: uint64(f.state.Revision())}}}
+	for _, id := range f.members.All() {
+		reply.Members = append(reply.Members, memberOf(id))
+	}
 	for _, e := range f.state.Since(since) {
 		reply.Documents = append(reply.Documents, &peer.Document{Name: e.Key, Version: uint64(e.Revision), Content: e.Value})
 	}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -10,11 +10,12 @@
 )
 
 const (
-	// HeartbeatInterval is the longest time between two reports of a daemon in a small fleet.
+	// HeartbeatInterval is the longest time between two reports of a daemon in a small fleet, and of a
+	// watcher in any.
 	HeartbeatInterval = 300 * time.Millisecond
 	// heartbeatBudget is the number of datagrams a second that a daemon sends as heartbeats at most; larger
 	// fleets have longer intervals.
-	heartbeatBudget = 40
+	heartbeatBudget = 80
 	// missedHeartbeats is the number of intervals of silence after which a daemon counts as dead. Links may
 	// lose several packets in a hundred, so that a few in a row may be missing.
 	missedHeartbeats = 5
@@ -33,6 +34,8 @@
 	State       peer.DaemonState
 	Revision    int64
 	Heard       time.Time
+	// StoreContact is when the store last answered the member, as far as it has told.
+	StoreContact time.Time
 }
 
 // Members is the list of the other daemons. It is pure: the time is passed in and callers serialize calls.
@@ -70,6 +73,7 @@
 	}
 	known.Incarnation, known.Sequence = r.Incarnation, r.Sequence
 	known.State, known.Revision, known.Heard = r.State, r.Revision, now
+	known.StoreContact = now.Add(-time.Duration(r.StoreAgeMs) * time.Millisecond)
 	return known
 }
 
@@ -95,6 +99,64 @@
 	return live
 }
 
+// watcherCount is the number of daemons that watch the store for the fleet. The store's rate grows more
+// slowly than the fleet, and each change of a watched key costs one call for each watch.
+const watcherCount = 3
+
+// Watchers returns the daemons that watch the store: those with the highest rendezvous weight. All daemons
+// that see the same members agree.
+func (m *Members) Watchers(now time.Time) []string {
+	ids := []string{m.self.Daemon}
+	for _, member := range m.Live(now) {
+		if member.State != peer.DaemonState_DAEMON_STATE_LEAVING {
+			ids = append(ids, member.Identity.Daemon)
+		}
+	}
+	top := rendezvous.NewSet(ids).Top(rendezvous.Key("watch"), watcherCount)
+	watchers := make([]string, len(top))
+	for i, n := range top {
+		watchers[i] = ids[n]
+	}
+	return watchers
+}
+
+// MustWatch says whether this daemon watches the store: it is one of the watchers, or none of them has
+// told lately that the store answers it.
+func (m *Members) MustWatch(now time.Time, freshness time.Duration) bool {
+	fresh := false
+	for _, id := range m.Watchers(now) {
+		if id == m.self.Daemon {
+			return true
+		}
+		if member := m.members[id]; member != nil && now.Sub(member.StoreContact) < freshness && now.Sub(member.Heard) < freshness {
+			fresh = true
+		}
+	}
+	return !fresh
+}
+
+// Schedulers returns the daemons that may place requests for the fleet, the one to ask first at the front:
+// those with the most processor time, among them by rendezvous.
+func (m *Members) Schedulers(now time.Time, selfReady bool) []*Member {
+	var ready []*Member
+	if selfReady {
+		ready = append(ready, &Member{Identity: m.self, State: peer.DaemonState_DAEMON_STATE_READY})
+	}
+	for _, member := range m.Live(now) {
+		if member.State == peer.DaemonState_DAEMON_STATE_READY {
+			ready = append(ready, member)
+		}
+	}
+	key := rendezvous.Key("scheduler")
+	slices.SortFunc(ready, func(a, b *Member) int {
+		return cmp.Or(
+			cmp.Compare(b.Identity.Capacity, a.Identity.Capacity),
+			cmp.Compare(rendezvous.Weight(key, rendezvous.Key(b.Identity.Daemon)), rendezvous.Weight(key, rendezvous.Key(a.Identity.Daemon))),
+		)
+	})
+	return ready
+}
+
 // All returns where all known daemons are reached, also silent ones.
 func (m *Members) All() []*peer.Identity {
 	ids := make([]*peer.Identity, 0, len(m.members))
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -16,6 +16,7 @@
 
 // Codec translates the values of the store. The adapter of the platform provides it.
 type Codec struct {
+	// DaemonPrefix is the prefix of the daemons' own keys, which only a daemon without peers reads.
 	TableKey       string
 	EndpointPrefix string
 	DaemonPrefix   string
@@ -25,7 +26,7 @@
 
 // View is what is known at one moment. It is immutable.
 type View struct {
-	// Revision is the newest revision of the store that is part of the view.
+	// Revision is the revision of the store up to which the view is complete.
 	Revision int64
 	// Table is nil until the first configuration is known.
 	Table *traffic.Table
@@ -53,9 +54,8 @@
 	codec   Codec
 	records map[string]*record
 	table   *traffic.Table
-	// tableRevision is the revision of the key that holds the table.
-	tableRevision int64
-	revision      int64
+	// revision is the revision of the store up to which the state is complete. Keys may be newer.
+	revision int64
 	// graceUntil ends the time after an outage of the store in which missing entries of endpoints do not
 	// count as gone.
 	graceUntil time.Time
@@ -88,9 +88,12 @@
 	s.lapseGrace = min(maxLapseGrace, time.Duration(drainShare*float64(bound)))
 }
 
-// Revision returns the newest revision that is part of the state.
+// Revision returns the revision up to which the state is complete.
 func (s *State) Revision() int64 { return s.revision }
 
+// Advance says that all changes up to a revision have been applied.
+func (s *State) Advance(revision int64) { s.revision = max(s.revision, revision) }
+
 // StoreReturned says that the store answers again after an outage in which entries may have lapsed.
 func (s *State) StoreReturned(now time.Time) { s.graceUntil = now.Add(s.lapseGrace) }
 
@@ -101,20 +104,15 @@
 	if !s.relevant(key) || (old != nil && revision <= old.revision) {
 		return false
 	}
-	s.revision = max(s.revision, revision)
-	switch {
-	case key == s.codec.TableKey:
+	if key == s.codec.TableKey {
 		return s.applyTable(key, revision, value)
-	case strings.HasPrefix(key, s.codec.EndpointPrefix):
-		s.applyEndpoint(now, key, revision, value, old)
-	default:
-		s.records[key] = &record{revision: revision, value: value, goneAt: now}
 	}
+	s.applyEndpoint(now, key, revision, value, old)
 	return true
 }
 
 func (s *State) relevant(key string) bool {
-	return key == s.codec.TableKey || strings.HasPrefix(key, s.codec.EndpointPrefix) || strings.HasPrefix(key, s.codec.DaemonPrefix)
+	return key == s.codec.TableKey || strings.HasPrefix(key, s.codec.EndpointPrefix)
 }
 
 // applyTable puts a routing table in force unless it is malformed or older.
@@ -128,7 +126,6 @@
 		return false
 	}
 	s.records[key] = &record{revision: revision, value: value}
-	s.tableRevision = revision
 	s.table = table
 	return true
 }
@@ -156,9 +153,13 @@
 // not changed since were removed.
 func (s *State) ApplyListing(now time.Time, asOf int64, listed []platform.KeyValue) bool {
 	changed := false
+	newest := int64(0)
 	present := make(map[string]bool, len(listed))
 	for _, kv := range listed {
 		present[kv.Key] = true
+		if s.relevant(kv.Key) {
+			newest = max(newest, kv.ModRevision)
+		}
 		value := kv.Value
 		if value == nil {
 			value = []byte{}
@@ -167,9 +168,12 @@
 	}
 	for key, r := range s.records {
 		if r.value != nil && !present[key] && r.revision <= asOf && key != s.codec.TableKey {
+			newest = max(newest, asOf)
 			changed = s.Apply(now, key, max(asOf, r.revision+1), nil) || changed
 		}
 	}
+	// A key of a later page may be newer than one of an earlier page that changed meanwhile.
+	s.Advance(min(newest, asOf))
 	s.expire(now)
 	return changed
 }
@@ -201,17 +205,6 @@
 	return entries
 }
 
-// Daemons returns the values of the daemons' own keys.
-func (s *State) Daemons() [][]byte {
-	var values [][]byte
-	for key, r := range s.records {
-		if r.value != nil && strings.HasPrefix(key, s.codec.DaemonPrefix) {
-			values = append(values, r.value)
-		}
-	}
-	return values
-}
-
 // NextLapse returns when the view changes by itself; zero when it does not.
 func (s *State) NextLapse(now time.Time) time.Time {
 	var next time.Time
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -12,7 +12,7 @@
 const (
 	// cacheShare is the part of an engine's memory that cached parts are assumed to keep beside running requests.
 	cacheShare = 0.6
-	// maxPromises is how long a part that is being read counts as cached on its engine.
+	// promiseAge is how long a part that is being read counts as cached on its engine.
 	promiseAge = 10 * time.Second
 	// maxNews bounds the cached parts that one report carries.
 	maxNews = 24
@@ -20,17 +20,23 @@
 	newsRepeats = 2
 )
 
-// chain is the parts of a prompt as hashes, each of a part with all before it: a part is cached only
+// Chain is the parts of a prompt as hashes, each of a part with all before it: a part is cached only
 // together with those before it.
-type chain struct {
-	keys   []uint64
-	sums   []int
-	total  int
-	shared int
+type Chain struct {
+	// Keys are the hashes, and Ends the tokens up to the end of each part.
+	Keys []uint64
+	Ends []int
+	// Total is the length of the prompt, and Shared that of all parts but the last.
+	Total  int
+	Shared int
 }
 
-func newChain(p *traffic.Prompt) chain {
-	c := chain{total: p.Tokens, shared: min(p.SharedTokens(), p.Tokens)}
+// NewChain returns the chain of a prompt.
+func NewChain(p *traffic.Prompt) Chain {
+	if p == nil {
+		return Chain{}
+	}
+	c := Chain{Total: p.Tokens, Shared: min(p.SharedTokens(), p.Tokens)}
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(p.Model)
@@ -39,19 +45,27 @@
 		_, _ = d.Write([]byte{0})
 		_, _ = d.WriteString(part.ID)
 		sum += part.Tokens
-		c.keys = append(c.keys, d.Sum64())
-		c.sums = append(c.sums, sum)
+		c.Keys = append(c.Keys, d.Sum64())
+		c.Ends = append(c.Ends, sum)
 	}
-	c.total = max(c.total, sum)
+	c.Total = max(c.Total, sum)
 	return c
 }
 
+// sharedKey returns the hash of all parts but the last.
+func (c Chain) sharedKey() (uint64, bool) {
+	if len(c.Keys) < 2 {
+		return 0, false
+	}
+	return c.Keys[len(c.Keys)-2], true
+}
+
 // tokens returns the tokens of the first n parts.
-func (c chain) tokens(n int) int {
+func (c Chain) tokens(n int) int {
 	if n == 0 {
 		return 0
 	}
-	return c.sums[n-1]
+	return c.Ends[n-1]
 }
 
 // cached is one part on one engine.
@@ -100,56 +114,80 @@
 }
 
 // kept returns the number of leading parts that an engine has or is reading.
-func (m *cacheMap) kept(c chain, engine uint32) int {
+func (m *cacheMap) kept(c Chain, engine uint32) int {
 	e := m.engines[engine]
 	if e == nil {
 		return 0
 	}
 	n := 0
-	for n < len(c.keys) && e.parts[c.keys[n]] != nil {
+	for n < len(c.Keys) && e.parts[c.Keys[n]] != nil {
 		n++
 	}
 	return n
 }
 
-// known says whether any engine has read the first part of the chain.
-func (m *cacheMap) known(c chain) bool {
-	return len(c.keys) > 0 && len(m.holders[c.keys[0]]) > 0
+// source is an engine with a number of leading parts of a chain.
+type source struct {
+	engine uint32
+	parts  int
+}
+
+// sources has the two best engines to copy a chain from, so that each engine finds one that is not itself.
+type sources [2]source
+
+// best returns the best source for an engine; 0 parts when there is none.
+func (s sources) best(engine uint32) (uint32, int) {
+	for _, candidate := range s {
+		if candidate.parts > 0 && candidate.engine != engine {
+			return candidate.engine, candidate.parts
+		}
+	}
+	return 0, 0
 }
 
-// source returns another engine that has more than the given number of leading parts, and how many it has.
-func (m *cacheMap) source(c chain, kept int, except uint32) (uint32, int) {
-	for n := len(c.keys); n > kept; n-- {
-		var best uint32
-		var newest time.Time
-		for engine := range m.holders[c.keys[n-1]] {
-			el := m.engines[engine].parts[c.keys[n-1]]
-			if engine == except || el == nil {
+// sources returns the usable engines with the most leading parts, the ones that used them last first.
+func (m *cacheMap) sources(c Chain, usable func(engine uint32) bool) sources {
+	var found sources
+	n := 0
+	for parts := len(c.Keys); parts > 0 && n < len(found); parts-- {
+		var best, second source
+		var bestAt, secondAt time.Time
+		for engine := range m.holders[c.Keys[parts-1]] {
+			el := m.engines[engine].parts[c.Keys[parts-1]]
+			if el == nil || (n > 0 && engine == found[0].engine) || !usable(engine) {
 				continue
 			}
-			if at := el.Value.(*cached).at; newest.IsZero() || at.After(newest) || (at.Equal(newest) && engine < best) {
-				best, newest = engine, at
+			at := el.Value.(*cached).at
+			switch {
+			case best.parts == 0 || at.After(bestAt) || (at.Equal(bestAt) && engine < best.engine):
+				second, secondAt = best, bestAt
+				best, bestAt = source{engine, parts}, at
+			case second.parts == 0 || at.After(secondAt) || (at.Equal(secondAt) && engine < second.engine):
+				second, secondAt = source{engine, parts}, at
 			}
 		}
-		if !newest.IsZero() {
-			return best, n
+		for _, s := range []source{best, second} {
+			if s.parts > 0 && n < len(found) {
+				found[n] = s
+				n++
+			}
 		}
 	}
-	return 0, 0
+	return found
 }
 
 // promise records that an engine is about to read a chain.
-func (m *cacheMap) promise(now time.Time, c chain, engine uint32) {
+func (m *cacheMap) promise(now time.Time, c Chain, engine uint32) {
 	e := m.engine(engine)
-	for i, key := range c.keys {
+	for i, key := range c.Keys {
 		m.put(now, e, engine, key, c.tokens(i+1)-c.tokens(i), false)
 	}
 }
 
 // confirm records that an engine has read a chain.
-func (m *cacheMap) confirm(now time.Time, c chain, engine uint32, capacity int) {
+func (m *cacheMap) confirm(now time.Time, c Chain, engine uint32, capacity int) {
 	e := m.engine(engine)
-	for i, key := range c.keys {
+	for i, key := range c.Keys {
 		tokens := c.tokens(i+1) - c.tokens(i)
 		if fresh := m.put(now, e, engine, key, tokens, true); fresh {
 			m.news = append(m.news, news{key: key, engine: engine, tokens: tokens, left: newsRepeats})
@@ -206,12 +244,12 @@
 }
 
 // withdraw forgets a chain that an engine did not read after all.
-func (m *cacheMap) withdraw(c chain, engine uint32) {
+func (m *cacheMap) withdraw(c Chain, engine uint32) {
 	e := m.engines[engine]
 	if e == nil {
 		return
 	}
-	for _, key := range c.keys {
+	for _, key := range c.Keys {
 		if el := e.parts[key]; el != nil && !el.Value.(*cached).confirmed {
 			m.remove(e, engine, el)
 		}
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chivewind/chivewind/peer"
-	"github.com/chivewind/chivewind/traffic"
 )
 
 const (
@@ -44,38 +43,24 @@
 
 // demand sums the load of the classes over all daemons.
 type demand struct {
-	own        map[uint32]*decaying
-	remote     map[string]map[uint32]classDemand
-	strictHash map[uint32]bool
-	strictGap  time.Duration
+	own    map[uint32]*decaying
+	remote map[string]map[uint32]classDemand
+	// strictGap is the shortest pause target.
+	strictGap time.Duration
 }
 
 func newDemand() *demand {
-	return &demand{own: map[uint32]*decaying{}, remote: map[string]map[uint32]classDemand{}, strictHash: map[uint32]bool{}}
+	return &demand{own: map[uint32]*decaying{}, remote: map[string]map[uint32]classDemand{}}
 }
 
-func hashClass(class string) uint32 { return uint32(xxhash.Sum64String(class)) }
-
-// setStrict records the classes with strict pauses.
-func (d *demand) setStrict(t *traffic.Table, strict map[string]bool) {
-	d.strictHash = map[uint32]bool{}
-	d.strictGap = 0
-	for class := range strict {
-		d.strictHash[hashClass(class)] = true
-	}
-	for i := range t.Routes {
-		if r := &t.Routes[i]; strict[r.Class] && (d.strictGap == 0 || r.Gap < d.strictGap) {
-			d.strictGap = r.Gap
-		}
-	}
-}
+// HashClass names a class in messages between daemons.
+func HashClass(class string) uint32 { return uint32(xxhash.Sum64String(class)) }
 
 // perSecond scales a sum with exponential decay to a rate.
 func perSecond() float64 { return math.Ln2 / demandMemory.Seconds() }
 
 // arrived counts a request with the prompt tokens to be read and the expected output.
-func (d *demand) arrived(now time.Time, class string, read, write int) {
-	h := hashClass(class)
+func (d *demand) arrived(now time.Time, h uint32, read, write int) {
 	own := d.own[h]
 	if own == nil {
 		own = &decaying{at: now}
@@ -110,15 +95,8 @@
 }
 
 // Arrived counts a request for an engine pool, whether it is admitted or not.
-func (b *Board) Arrived(now time.Time, class string, p *traffic.Prompt) {
-	if p == nil {
-		return
-	}
-	output := p.MaxOutput
-	if p.OutputHint > 0 {
-		output = p.OutputHint
-	}
-	b.demand.arrived(now, class, max(p.Tokens-p.SharedTokens(), 0), output)
+func (b *Board) Arrived(now time.Time, r *Request) {
+	b.demand.arrived(now, r.Class, max(r.Chain.Total-r.Chain.Shared, 0), r.Output)
 }
 
 // FillReport adds this daemon's load to a report.
@@ -129,7 +107,9 @@
 		}
 		r.Loads = append(r.Loads, &peer.EndpointLoad{
 			Endpoint: e.hash, UnreadTokens: uint32(max(e.own.unread, 0)), Streams: uint32(max(e.own.streams, 0)),
-			StrictStreams: uint32(max(e.own.strict, 0)),
+			StrictStreams:         uint32(max(e.own.strict, 0)),
+			ScheduledUnreadTokens: uint32(max(e.ownScheduled.unread, 0)), ScheduledStreams: uint32(max(e.ownScheduled.streams, 0)),
+			ScheduledStrictStreams: uint32(max(e.ownScheduled.strict, 0)),
 		})
 	}
 	for _, n := range b.cache.takeNews() {
@@ -145,15 +125,22 @@
 	}
 }
 
-// HandleReport takes the load of another daemon.
-func (b *Board) HandleReport(now time.Time, r *peer.Report) {
+// HandleReport takes the load of another daemon. scheduled says that this daemon is the scheduler that the
+// report names, so that it knows the scheduled part of the load itself.
+func (b *Board) HandleReport(now time.Time, r *peer.Report, scheduled bool) {
 	for _, e := range b.endpoints {
 		delete(e.remote, r.Daemon)
 	}
 	for _, l := range r.Loads {
-		if e := b.byHash[l.Endpoint]; e != nil {
-			e.remote[r.Daemon] = remoteLoad{at: now, load: load{unread: int(l.UnreadTokens), streams: int(l.Streams), strict: int(l.StrictStreams)}}
+		e := b.byHash[l.Endpoint]
+		if e == nil {
+			continue
+		}
+		remote := load{unread: int(l.UnreadTokens), streams: int(l.Streams), strict: int(l.StrictStreams)}
+		if scheduled {
+			remote.sub(load{unread: int(l.ScheduledUnreadTokens), streams: int(l.ScheduledStreams), strict: int(l.ScheduledStrictStreams)})
 		}
+		e.remote[r.Daemon] = remoteLoad{at: now, load: remote}
 	}
 	for _, c := range r.Cached {
 		e := b.byHash[c.Endpoint]
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -38,6 +38,12 @@
 	strict  int
 }
 
+func (l *load) sub(o load) {
+	l.unread -= o.unread
+	l.streams -= o.streams
+	l.strict -= o.strict
+}
+
 func (l *load) add(o load) {
 	l.unread += o.unread
 	l.streams += o.streams
@@ -52,8 +58,12 @@
 // endpoint is the state of one incarnation of an endpoint.
 type endpoint struct {
 	traffic.Endpoint
-	hash   uint32
-	own    load
+	hash uint32
+	// own is the load of this daemon's requests, and ownScheduled the part of it that its scheduler placed.
+	own          load
+	ownScheduled load
+	// hosted is the load of requests that this daemon placed as the scheduler of others.
+	hosted load
 	remote map[string]remoteLoad
 	health health
 	// speed is the engine's reading speed relative to its pool.
@@ -74,6 +84,7 @@
 // load returns the load by all daemons.
 func (e *endpoint) load(now time.Time) load {
 	total := e.own
+	total.add(e.hosted)
 	for _, r := range e.remote {
 		if now.Sub(r.at) < remoteAge {
 			total.add(r.load)
@@ -82,11 +93,12 @@
 	return total
 }
 
-func (e *endpoint) requests() int { return e.own.streams }
+// requests returns the number of requests that this daemon knows to be running there.
+func (e *endpoint) requests() int { return e.own.streams + e.hosted.streams }
 
 // silent says that the endpoint has sent nothing for a while although requests of this daemon run there.
 func (e *endpoint) silent(now time.Time) bool {
-	return e.own.streams > 0 && now.Sub(e.progressAt) > silence
+	return e.requests() > 0 && now.Sub(e.progressAt) > silence
 }
 
 // readingSpeed returns the engine's speed in tokens per millisecond.
@@ -103,41 +115,80 @@
 
 // Ticket is an attempt in progress.
 type Ticket struct {
-	board   *Board
-	pool    *pool
-	e       *endpoint
-	load    load
+	board *Board
+	pool  *pool
+	e     *endpoint
+	load  load
+	owner Owner
+	// epoch is the scheduler's at the start; a later scheduler does not know the attempt.
+	epoch   int
 	plain   bool
-	chain   chain
-	strict  bool
+	chain   Chain
 	ahead   int
 	started time.Time
 	first   bool
 	ended   bool
 }
 
+// Owner says whose attempt it is.
+type Owner uint8
+
+// The owners of an attempt.
+const (
+	// Own attempts were placed by this daemon for itself.
+	Own Owner = iota
+	// Scheduled attempts are this daemon's, placed by the scheduler of the pool.
+	Scheduled
+	// Hosted attempts are another daemon's, placed by this one as scheduler.
+	Hosted
+)
+
+// NewScheduler says that another process schedules from now on. It does not know the attempts that the one
+// before placed, so that reports count them as this daemon's own.
+func (b *Board) NewScheduler() {
+	b.epoch++
+	for _, e := range b.endpoints {
+		e.ownScheduled = load{}
+	}
+}
+
 // Start records that an attempt is sent to the chosen endpoint.
-func (b *Board) Start(now time.Time, poolName string, r *Request, c Choice) *Ticket {
+func (b *Board) Start(now time.Time, poolName string, r *Request, c Choice, owner Owner) *Ticket {
 	p := b.pools[poolName]
 	e := b.endpoint(now, c.Endpoint)
-	t := &Ticket{board: b, pool: p, e: e, started: now, plain: p == nil || p.Engine == nil, strict: b.strict[r.Class]}
+	t := &Ticket{board: b, pool: p, e: e, started: now, owner: owner, epoch: b.epoch, plain: p == nil || p.Engine == nil}
 	t.load = load{unread: c.Read, streams: 1}
-	if t.strict {
+	if b.strict[r.Class] {
 		t.load.strict = 1
 	}
-	if e.own.streams == 0 {
+	if e.requests() == 0 {
 		e.progressAt = now
 	}
 	t.ahead = e.load(now).unread + c.Read
-	e.own.add(t.load)
-	if !t.plain && r.Prompt != nil {
-		t.chain = newChain(r.Prompt)
+	t.apply(t.load)
+	if !t.plain {
+		t.chain = r.Chain
 		b.cache.promise(now, t.chain, e.hash)
 	}
 	e.health.began(now)
 	return t
 }
 
+// apply adds a change of load to the owner's part.
+func (t *Ticket) apply(l load) {
+	switch t.owner {
+	case Hosted:
+		t.e.hosted.add(l)
+	case Scheduled:
+		if t.epoch == t.board.epoch {
+			t.e.ownScheduled.add(l)
+		}
+		t.e.own.add(l)
+	default:
+		t.e.own.add(l)
+	}
+}
+
 // Event records that the endpoint has sent something of the answer.
 func (t *Ticket) Event(now time.Time) {
 	t.e.progressAt = now
@@ -145,7 +196,7 @@
 		return
 	}
 	t.first = true
-	t.e.own.unread -= t.load.unread
+	t.apply(load{unread: -t.load.unread})
 	if t.plain {
 		return
 	}
@@ -153,6 +204,9 @@
 	t.board.cache.confirm(now, t.chain, t.e.hash, t.capacity())
 }
 
+// First says whether the first event has arrived.
+func (t *Ticket) First() bool { return t.first }
+
 func (t *Ticket) capacity() int {
 	if t.pool == nil || t.pool.Engine == nil {
 		return 0
@@ -196,11 +250,11 @@
 	}
 	t.ended = true
 	e := t.e
+	rest := load{streams: -t.load.streams, strict: -t.load.strict}
 	if !t.first {
-		e.own.unread -= t.load.unread
+		rest.unread = -t.load.unread
 	}
-	e.own.streams -= t.load.streams
-	e.own.strict -= t.load.strict
+	t.apply(rest)
 	switch o {
 	case Served:
 		e.progressAt = now
--- a/internal/placement/lanes.go
+++ b/internal/placement/lanes.go
@@ -29,9 +29,10 @@
 	at     time.Time
 }
 
-// strictClasses returns the classes with the shortest pauses when others allow clearly longer ones.
-func strictClasses(t *traffic.Table) map[string]bool {
-	var shortest, longest time.Duration
+// strictClasses returns the hashes of the classes with the shortest pauses when others allow clearly longer
+// ones, and the shortest pause.
+func strictClasses(t *traffic.Table) (strict map[uint32]bool, shortest time.Duration) {
+	var longest time.Duration
 	for i := range t.Routes {
 		if gap := t.Routes[i].Gap; t.Routes[i].Stream && gap > 0 {
 			if shortest == 0 || gap < shortest {
@@ -40,17 +41,17 @@
 			longest = max(longest, gap)
 		}
 	}
-	strict := map[string]bool{}
+	strict = map[uint32]bool{}
 	bound := time.Duration(strictRatio * float64(shortest))
 	if longest <= bound {
-		return strict
+		return strict, shortest
 	}
 	for i := range t.Routes {
 		if r := &t.Routes[i]; r.Stream && r.Gap > 0 && r.Gap <= bound {
-			strict[r.Class] = true
+			strict[HashClass(r.Class)] = true
 		}
 	}
-	return strict
+	return strict, shortest
 }
 
 // updateLanes follows the recent load of the classes. It answers bursts of one class: within a second or
@@ -67,7 +68,7 @@
 	}
 	var strict, other float64
 	for class, d := range b.demand.total(now) {
-		if b.demand.strictHash[class] {
+		if b.strict[class] {
 			strict += d.work()
 		} else {
 			other += d.work()
@@ -85,7 +86,7 @@
 }
 
 // laneCost is the expected loss for streams when a prompt is read at an endpoint.
-func (b *Board) laneCost(p *pool, index int, e *endpoint, l load, r *Request, read int) float64 {
+func (b *Board) laneCost(p *pool, index int, e *endpoint, l load, r *candidate, read int) float64 {
 	if p.lanes.strict == 0 {
 		return 0
 	}
@@ -93,38 +94,36 @@
 	inStrict := index < p.lanes.strict
 	budget := b.readBudget(e, p)
 	switch {
-	case b.strict[r.Class]:
+	case r.strict:
 		if !inStrict {
 			cost += laneWeight
 		}
 	case inStrict && float64(l.unread+read) > budget:
 		cost += laneWeight
 	}
-	if over := float64(l.unread+read)/budget - 1; over > 0 && !b.strict[r.Class] {
+	if over := float64(l.unread+read)/budget - 1; over > 0 && !r.strict {
 		cost += disturbWeight * min(over, 1) * float64(min(l.strict, maxDisturbed))
 	}
 	return cost
 }
 
-// isHome says whether an engine is the one that reads a prompt's shared parts first. All daemons agree on
-// it without asking each other, so that a part that nobody has yet is not read by several engines at once.
-// The home lies in the lane of the request's class.
-func (b *Board) isHome(p *pool, index int, r *Request, c chain, e *endpoint) bool {
-	if len(c.keys) < 2 {
-		return true
+// home returns the engine that reads a prompt's shared parts first. All daemons agree on it without asking
+// each other, so that a part that nobody has yet is not read by several engines at once. The home lies in
+// the lane of the request's class.
+func (p *pool) home(r *candidate) *endpoint {
+	key, ok := r.Chain.sharedKey()
+	if !ok {
+		return nil
 	}
-	key := rendezvous.Hash(c.keys[len(c.keys)-2])
-	own := rendezvous.Weight(key, rendezvous.Hash(e.hash))
-	first, last := p.lane(b.strict[r.Class])
-	if index < first || index >= last {
-		return false
-	}
-	for _, other := range p.endpoints[first:last] {
-		if rendezvous.Weight(key, rendezvous.Hash(other.hash)) > own {
-			return false
+	first, last := p.lane(r.strict)
+	var home *endpoint
+	var weight uint64
+	for _, e := range p.endpoints[first:last] {
+		if w := rendezvous.Weight(rendezvous.Hash(key), rendezvous.Hash(e.hash)); home == nil || w > weight {
+			home, weight = e, w
 		}
 	}
-	return true
+	return home
 }
 
 // lane returns the range of the engines of a lane.
@@ -133,7 +132,7 @@
 	case p.lanes.strict == 0:
 		return 0, len(p.endpoints)
 	case strict:
-		return 0, p.lanes.strict
+		return 0, min(p.lanes.strict, len(p.endpoints))
 	}
 	return min(p.lanes.strict, len(p.endpoints)), len(p.endpoints)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,6 +8,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,22 +18,26 @@
 
 // Request is what placement needs to know of a request.
 type Request struct {
-	Class string
+	// Class is the hash of the class's name.
+	Class uint32
 	Zone  string
-	// Prompt is nil for plain services.
-	Prompt *traffic.Prompt
-	// FirstByte and Gap are the latency targets; zero means none.
+	// Chain is empty for plain services.
+	Chain Chain
+	// Output is the expected number of generated tokens.
+	Output int
+	// FirstByte is the latency target; zero means none.
 	FirstByte time.Duration
-	Gap       time.Duration
-	// Avoid lists endpoints that must not be chosen.
-	Avoid []string
+	// Avoid lists hashes of endpoints that must not be chosen.
+	Avoid []uint32
 }
 
 // Choice is the endpoint for one attempt of a request.
 type Choice struct {
 	Endpoint traffic.Endpoint
-	// FetchFrom is the address of an engine from which cached parts are copied; empty for none.
-	FetchFrom string
+	// Hash names the endpoint in messages between daemons.
+	Hash uint32
+	// FetchFrom is the hash of an engine from which cached parts are copied; 0 for none.
+	FetchFrom uint32
 	// Read is the number of prompt tokens that the engine has to read.
 	Read int
 	// Wait is the expected time to the first byte.
@@ -70,20 +75,22 @@
 
 // Board holds the load of all endpoints.
 type Board struct {
-	zone      string
 	pools     map[string]*pool
 	endpoints map[string]*endpoint
 	byHash    map[uint32]*endpoint
 	cache     *cacheMap
 	demand    *demand
-	strict    map[string]bool
+	// strict has the hashes of the classes with the shortest pauses.
+	strict map[uint32]bool
+	// epoch grows with each change of the scheduler.
+	epoch int
 }
 
-// New returns a board without endpoints for a daemon in an availability zone.
-func New(zone string) *Board {
+// New returns a board without endpoints.
+func New() *Board {
 	return &Board{
-		zone: zone, pools: map[string]*pool{}, endpoints: map[string]*endpoint{}, byHash: map[uint32]*endpoint{},
-		cache: newCacheMap(), demand: newDemand(), strict: map[string]bool{},
+		pools: map[string]*pool{}, endpoints: map[string]*endpoint{}, byHash: map[uint32]*endpoint{},
+		cache: newCacheMap(), demand: newDemand(), strict: map[uint32]bool{},
 	}
 }
 
@@ -111,8 +118,7 @@
 
 // SetTable replaces the routing table.
 func (b *Board) SetTable(t *traffic.Table) {
-	b.strict = strictClasses(t)
-	b.demand.setStrict(t, b.strict)
+	b.strict, b.demand.strictGap = strictClasses(t)
 	for name, p := range t.Pools {
 		if known := b.pools[name]; known != nil {
 			known.Pool = p
@@ -160,6 +166,46 @@
 	return e
 }
 
+// Address returns the address of the endpoint with a hash; empty when it is not known.
+func (b *Board) Address(hash uint32) string {
+	if e := b.byHash[hash]; e != nil {
+		return e.Address
+	}
+	return ""
+}
+
+// Resolve completes a choice that another daemon made. It returns false when the endpoint is not known here.
+func (b *Board) Resolve(c Choice) (Choice, bool) {
+	e := b.byHash[c.Hash]
+	if e == nil {
+		return c, false
+	}
+	c.Endpoint = e.Endpoint
+	return c, true
+}
+
+// Unreachable returns the hashes of a pool's endpoints that this daemon could not reach lately.
+func (b *Board) Unreachable(now time.Time, poolName string) []uint32 {
+	var down []uint32
+	if p := b.pools[poolName]; p != nil {
+		for _, e := range p.endpoints {
+			if now.Before(e.health.downUntil) {
+				down = append(down, e.hash)
+			}
+		}
+	}
+	return down
+}
+
+// candidate is what rating needs to know of a request and is the same for all endpoints.
+type candidate struct {
+	*Request
+	strict bool
+	// home is the engine that reads unread shared parts; nil when there is none.
+	home    *endpoint
+	sources sources
+}
+
 // Choose returns the endpoint with the least expected loss, or false when none takes requests.
 func (b *Board) Choose(now time.Time, poolName string, r *Request) (Choice, bool) {
 	p := b.pools[poolName]
@@ -167,39 +213,34 @@
 		return Choice{}, false
 	}
 	b.updateLanes(now, p)
-	var chain chain
-	if p.Engine != nil && r.Prompt != nil {
-		chain = newChain(r.Prompt)
+	c := &candidate{Request: r, strict: b.strict[r.Class]}
+	if p.Engine != nil {
+		c.home = p.home(c)
+		c.sources = b.cache.sources(r.Chain, func(engine uint32) bool {
+			e := b.byHash[engine]
+			return e != nil && e.Pool == poolName && e.health.usable(now, 0)
+		})
 	}
 	var best Choice
 	found := false
 	for pass := 0; pass < 2 && !found; pass++ {
 		for i, e := range p.endpoints {
 			// The second pass takes endpoints that seem down, when there are no others.
-			if avoided(e.ID, r.Avoid) || (pass == 0 && !e.health.usable(now, e.requests())) {
+			if slices.Contains(r.Avoid, e.hash) || (pass == 0 && !e.health.usable(now, e.requests())) {
 				continue
 			}
-			c := b.rate(now, p, i, e, r, chain)
-			if !found || c.Cost < best.Cost {
-				best, found = c, true
+			choice := b.rate(now, p, i, e, c)
+			if !found || choice.Cost < best.Cost {
+				best, found = choice, true
 			}
 		}
 	}
 	return best, found
 }
 
-func avoided(id string, avoid []string) bool {
-	for _, a := range avoid {
-		if a == id {
-			return true
-		}
-	}
-	return false
-}
-
 // rate returns the choice of an endpoint with its cost.
-func (b *Board) rate(now time.Time, p *pool, index int, e *endpoint, r *Request, c chain) Choice {
-	choice := Choice{Endpoint: e.Endpoint}
+func (b *Board) rate(now time.Time, p *pool, index int, e *endpoint, r *candidate) Choice {
+	choice := Choice{Endpoint: e.Endpoint, Hash: e.hash}
 	cost := failureWeight * e.health.failureShare(now)
 	if e.Zone != r.Zone {
 		cost += zoneWeight
@@ -213,18 +254,17 @@
 		return choice
 	}
 	load := e.load(now)
-	kept := b.cache.kept(c, e.hash)
-	choice.Read = c.total - c.tokens(kept)
-	source, more := b.cache.source(c, kept, e.hash)
-	if from := b.byHash[source]; more > kept && from != nil && from.health.usable(now, 0) {
-		moved := c.tokens(more) - c.tokens(kept)
-		choice.FetchFrom = from.Address
+	kept := b.cache.kept(r.Chain, e.hash)
+	choice.Read = r.Chain.Total - r.Chain.tokens(kept)
+	if source, more := r.sources.best(e.hash); more > kept {
+		moved := r.Chain.tokens(more) - r.Chain.tokens(kept)
+		choice.FetchFrom = source
 		choice.Read -= moved
 		cost += fetchWeight * float64(moved) / 1000
 		if p.Engine.LinkBytesPerMs > 0 {
 			choice.Wait += ms(float64(moved) * p.Engine.TokenBytes / p.Engine.LinkBytesPerMs)
 		}
-	} else if shared := c.shared - min(c.tokens(kept), c.shared); shared > 0 && !b.isHome(p, index, r, c, e) {
+	} else if shared := r.Chain.Shared - min(r.Chain.tokens(kept), r.Chain.Shared); shared > 0 && r.home != e {
 		cost += rereadWeight * float64(shared) / 1000
 	}
 	choice.Wait += ms(float64(load.unread+choice.Read) / e.readingSpeed(p))
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -79,6 +79,9 @@
 	Memory config.Size `yaml:"memory"`
 	// Cores is the number of processors. Default 1.
 	Cores int `yaml:"cores"`
+	// Share is the part of a core that the process may use. Daemons with the most processor time schedule
+	// for the others. Default 1.
+	Share float64 `yaml:"share"`
 }
 
 // ReadEntryFile reads and validates the settings of an entry daemon.
@@ -115,6 +118,7 @@
 	setDefault(&s.Bounds.RetryWindow, DefaultRetryWindow)
 	setDefault(&s.Process.Memory, DefaultMemory)
 	setDefault(&s.Process.Cores, 1)
+	setDefault(&s.Process.Share, 1)
 	setDefault(&s.Log.Level, "info")
 	if s.Log.JSON == nil {
 		json := true
@@ -158,6 +162,9 @@
 	if s.Process.Cores < 1 {
 		doc.Addf("process.cores", "%d is out of range; valid: 1 and more", s.Process.Cores)
 	}
+	if s.Process.Share <= 0 {
+		doc.Addf("process.share", "%v is out of range; valid: above 0", s.Process.Share)
+	}
 	if !slices.Contains(logLevels, s.Log.Level) {
 		doc.Addf("log.level", "%q is not a level; valid: trace, debug, info, warn, error", s.Log.Level)
 	}
