Refuse what cannot be served in time, the least urgent class first

Change: a request of the least urgent class is refused when the backlog in front of it exceeds a share of the tightest target, any request when it cannot make its deadline; engines' memory is estimated and not overcommitted; the rank at engines is that of the workspace first and of the route second; replies of the scheduler go to the address that the question came from.

Ruled out: a busy scheduler (at most 0.013 cores).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,7 +38,7 @@
 	Schedulers() []*fleet.Member
 	// Send and SendTo send a datagram that may be lost.
 	Send(d *peer.Datagram, to *peer.Identity)
-	SendTo(d *peer.Datagram, daemon string) bool
+	SendTo(d *peer.Datagram, address netip.AddrPort)
 }
 
 // Options hold what a Server needs.
@@ -193,9 +194,9 @@
 type Outgoing struct {
 	EndpointID string
 	Workspace  string
-	// Tier is passed to engines only.
-	Tier   int
-	Engine bool
+	// Urgency is the rank for engines, from 0 (first) to 9.
+	Urgency int
+	Engine  bool
 	// Remaining is the time until the request's deadline.
 	Remaining time.Duration
 	// FetchFrom is the address of an engine that has cached parts of the prompt; empty for none.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -167,7 +167,7 @@
 func (s *Server) attempt(ctx context.Context, req *request, c placement.Choice, t *placed, answer *relay) result {
 	req.endpoint, req.read, req.predicted = c.Endpoint.ID, c.Read, c.Wait
 	out := Outgoing{
-		EndpointID: c.Endpoint.ID, Workspace: req.workspace.Name, Tier: req.tier, Engine: req.pool.Engine != nil,
+		EndpointID: c.Endpoint.ID, Workspace: req.workspace.Name, Urgency: req.urgency, Engine: req.pool.Engine != nil,
 		Remaining: time.Until(req.deadline), FetchFrom: s.address(c.FetchFrom), LastEvent: answer.lastEvent,
 	}
 	if out.LastEvent == "" {
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -81,9 +82,10 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	choice, ok := s.board.Choose(now, req.pool.Name, &req.wanted)
-	if !ok {
-		return choice, nil, &end{reply: notRun("no endpoint", noEndpointRetryAfter)}
+	req.wanted.Remaining = time.Until(req.deadline)
+	choice, refusal := s.board.Choose(now, req.pool.Name, &req.wanted)
+	if refusal != nil {
+		return choice, nil, &end{reply: notRun(refusal.Reason.String(), refusal.RetryAfter)}
 	}
 	ticket := s.board.Start(now, req.pool.Name, &req.wanted, choice, placement.Own)
 	s.fleet.MarkDirty()
@@ -148,7 +150,7 @@
 	delete(s.asking.suspended, host.Identity.Daemon)
 	if reply.Endpoint == 0 {
 		wait := time.Duration(reply.RetryAfterMs) * time.Millisecond
-		return choice, nil, &end{reply: notRun("no endpoint in time", wait)}, true
+		return choice, nil, &end{reply: notRun(placement.Reason(reply.Refusal).String(), wait)}, true
 	}
 	choice, known := s.board.Resolve(placement.Choice{
 		Hash: reply.Endpoint, FetchFrom: reply.FetchFrom, Read: int(reply.ReadTokens), Wait: time.Duration(reply.WaitUs) * time.Microsecond,
@@ -174,7 +176,7 @@
 	q := &peer.PlaceRequest{
 		Daemon: self.Daemon, Incarnation: incarnation, Pool: req.pool.Name, Class: w.Class, Zone: w.Zone,
 		PromptTokens: uint32(w.Chain.Total), SharedTokens: uint32(w.Chain.Shared), OutputTokens: uint32(w.Output),
-		Parts: w.Chain.Keys, FirstByteUs: uint32(w.FirstByte.Microseconds()), Tier: uint32(max(req.tier, 0)),
+		Parts: w.Chain.Keys, FirstByteUs: uint32(w.FirstByte.Microseconds()), Tier: uint32(max(w.Tier, 0)),
 		RemainingMs: uint32(max(time.Until(req.deadline).Milliseconds(), 0)),
 	}
 	for _, end := range w.Chain.Ends {
@@ -273,11 +275,11 @@
 }
 
 // HandleDatagram implements fleet.Reporter.
-func (s *Server) HandleDatagram(d *peer.Datagram) {
+func (s *Server) HandleDatagram(d *peer.Datagram, from netip.AddrPort) {
 	switch m := d.Message.(type) {
 	case *peer.Datagram_Place:
 		if reply := s.host(m.Place); reply != nil {
-			s.fleet.SendTo(&peer.Datagram{Message: &peer.Datagram_Placed{Placed: reply}}, m.Place.Daemon)
+			s.fleet.SendTo(&peer.Datagram{Message: &peer.Datagram_Placed{Placed: reply}}, from)
 		}
 	case *peer.Datagram_Placed:
 		s.mu.Lock()
@@ -308,6 +310,7 @@
 	}
 	r := &placement.Request{
 		Class: q.Class, Zone: q.Zone, Output: int(q.OutputTokens), FirstByte: time.Duration(q.FirstByteUs) * time.Microsecond, Avoid: q.Avoid,
+		Tier: int(q.Tier), Remaining: time.Duration(q.RemainingMs) * time.Millisecond,
 		Chain: placement.Chain{Keys: q.Parts, Total: int(q.PromptTokens), Shared: int(q.SharedTokens)},
 	}
 	if len(q.PartEnds) != len(q.Parts) {
@@ -317,9 +320,9 @@
 		r.Chain.Ends = append(r.Chain.Ends, int(end))
 	}
 	reply := &peer.PlaceReply{Id: q.Id, Scheduler: s.selfKey()}
-	choice, ok := s.board.Choose(now, q.Pool, r)
-	if !ok {
-		reply.RetryAfterMs = uint32(noEndpointRetryAfter.Milliseconds())
+	choice, refusal := s.board.Choose(now, q.Pool, r)
+	if refusal != nil {
+		reply.Refusal, reply.RetryAfterMs = uint32(refusal.Reason), uint32(refusal.RetryAfter.Milliseconds())
 		return reply
 	}
 	reply.Endpoint, reply.FetchFrom = choice.Hash, choice.FetchFrom
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -18,11 +18,14 @@
 	caller    Caller
 	route     *traffic.Route
 	workspace traffic.Workspace
-	tier      int
-	pool      traffic.Pool
-	version   int64
-	host      string
-	method    string
+	// tier is the rank of the workspace, or of the route for workspaces without one.
+	tier int
+	// urgency orders requests at engines: by the rank of the workspace first and that of the route second.
+	urgency int
+	pool    traffic.Pool
+	version int64
+	host    string
+	method  string
 	// target is the path with the query, as the caller sent it.
 	target string
 	header http.Header
@@ -92,7 +95,7 @@
 		return nil, s.unknown(http.StatusNotFound, "no route")
 	}
 	req := &request{
-		caller: caller, route: route, tier: route.Tier, version: view.Table.Version, host: r.Host,
+		caller: caller, route: route, tier: route.Tier, urgency: urgency(traffic.Workspace{}, route), version: view.Table.Version, host: r.Host,
 		method: r.Method, target: r.RequestURI, header: r.Header, arrival: arrival,
 	}
 	if view.Table.KeysRequired {
@@ -103,13 +106,14 @@
 			if workspace.HasTier {
 				req.tier = workspace.Tier
 			}
+			req.urgency = urgency(workspace, route)
 		case !route.Public:
 			return nil, s.unknown(http.StatusUnauthorized, "unknown key")
 		}
 	}
 	req.pool = view.Table.Pools[pickPool(route)]
 	req.setDeadline()
-	req.wanted = placement.Request{Class: placement.HashClass(route.Class), Zone: s.o.Zone, FirstByte: route.FirstByte}
+	req.wanted = placement.Request{Class: placement.HashClass(route.Class), Zone: s.o.Zone, FirstByte: route.FirstByte, Tier: route.Tier}
 	if p := caller.Prompt; p != nil && req.pool.Engine != nil {
 		req.wanted.Chain = placement.NewChain(p)
 		req.wanted.Output = p.MaxOutput
@@ -120,6 +124,19 @@
 	return req, nil
 }
 
+// ranks is the number of ranks of a workspace or a route that engines can tell apart: they know ten.
+const ranks = 3
+
+// urgency is the rank of a request at engines, 0 first. The rank of a workspace takes precedence over that
+// of the route, which orders the requests of workspaces of equal rank.
+func urgency(w traffic.Workspace, r *traffic.Route) int {
+	rank := min(max(r.Tier, 0), ranks-1)
+	if w.HasTier {
+		rank += ranks * min(max(w.Tier, 0), ranks-1)
+	}
+	return rank
+}
+
 // staleAfter is the silence of the store after which the routing table may be out of date.
 const staleAfter = 3 * time.Second
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,7 +25,7 @@
 	// HandleReport takes the load of another daemon.
 	HandleReport(*peer.Report)
 	// HandleDatagram takes a message of the scheduling protocol.
-	HandleDatagram(*peer.Datagram)
+	HandleDatagram(d *peer.Datagram, from netip.AddrPort)
 	// ForgetDaemon drops the load of a daemon that is silent.
 	ForgetDaemon(daemon string)
 }
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -137,16 +137,14 @@
 // Send sends a message of the scheduling protocol. It may be lost.
 func (f *Fleet) Send(d *peer.Datagram, to *peer.Identity) { f.send(d, to) }
 
-// SendTo sends a message to a daemon by its name. It returns false when the daemon is not known.
-func (f *Fleet) SendTo(d *peer.Datagram, daemon string) bool {
-	f.mu.Lock()
-	member := f.members.members[daemon]
-	f.mu.Unlock()
-	if member == nil {
-		return false
+// SendTo answers a message of the scheduling protocol at the address that it came from.
+func (f *Fleet) SendTo(d *peer.Datagram, address netip.AddrPort) {
+	raw, err := proto.Marshal(d)
+	if err != nil {
+		f.o.Log.Error("a message was not encoded", "error", err)
+		return
 	}
-	f.send(d, member.Identity)
-	return true
+	f.write(raw, address)
 }
 
 func (f *Fleet) send(d *peer.Datagram, to ...*peer.Identity) {
@@ -161,10 +159,14 @@
 			f.o.Log.Warn("a daemon's address was ignored", "daemon", id.Daemon, "error", err)
 			continue
 		}
-		// A lost datagram is made up for by the next one.
-		if _, err := f.socket.WriteToUDPAddrPort(raw, address); err != nil {
-			f.count("chivewind_report_send_failures_total")
-		}
+		f.write(raw, address)
+	}
+}
+
+// write sends a datagram. A lost one is made up for by the next.
+func (f *Fleet) write(raw []byte, address netip.AddrPort) {
+	if _, err := f.socket.WriteToUDPAddrPort(raw, address); err != nil {
+		f.count("chivewind_report_send_failures_total")
 	}
 }
 
@@ -193,7 +195,7 @@
 func (f *Fleet) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := f.socket.ReadFromUDPAddrPort(buffer)
+		n, from, err := f.socket.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -210,7 +212,7 @@
 			f.handleReport(r)
 			continue
 		}
-		f.o.Reporter.HandleDatagram(d)
+		f.o.Reporter.HandleDatagram(d, from)
 	}
 }
 
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -128,9 +128,7 @@
 // HandleReport takes the load of another daemon. scheduled says that this daemon is the scheduler that the
 // report names, so that it knows the scheduled part of the load itself.
 func (b *Board) HandleReport(now time.Time, r *peer.Report, scheduled bool) {
-	for _, e := range b.endpoints {
-		delete(e.remote, r.Daemon)
-	}
+	reported := make(map[uint32]bool, len(r.Loads))
 	for _, l := range r.Loads {
 		e := b.byHash[l.Endpoint]
 		if e == nil {
@@ -140,7 +138,13 @@
 		if scheduled {
 			remote.sub(load{unread: int(l.ScheduledUnreadTokens), streams: int(l.ScheduledStreams), strict: int(l.ScheduledStrictStreams)})
 		}
-		e.remote[r.Daemon] = remoteLoad{at: now, load: remote}
+		e.setRemote(r.Daemon, remote)
+		reported[l.Endpoint] = true
+	}
+	for hash, e := range b.byHash {
+		if !reported[hash] {
+			e.setRemote(r.Daemon, load{})
+		}
 	}
 	for _, c := range r.Cached {
 		e := b.byHash[c.Endpoint]
@@ -162,7 +166,7 @@
 // ForgetDaemon drops the load of a daemon that is silent.
 func (b *Board) ForgetDaemon(daemon string) {
 	for _, e := range b.endpoints {
-		delete(e.remote, daemon)
+		e.setRemote(daemon, load{})
 	}
 	delete(b.demand.remote, daemon)
 }
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -25,8 +25,6 @@
 	serviceGain    = 0.1
 	// silence is how long an endpoint with requests may send nothing before it is suspected.
 	silence = time.Second
-	// remoteAge is how long another daemon's load counts without a new report.
-	remoteAge = 3 * time.Second
 )
 
 // load is what occupies an endpoint.
@@ -50,11 +48,6 @@
 	l.strict += o.strict
 }
 
-type remoteLoad struct {
-	load
-	at time.Time
-}
-
 // endpoint is the state of one incarnation of an endpoint.
 type endpoint struct {
 	traffic.Endpoint
@@ -64,8 +57,11 @@
 	ownScheduled load
 	// hosted is the load of requests that this daemon placed as the scheduler of others.
 	hosted load
-	remote map[string]remoteLoad
-	health health
+	// remote is the load of the other daemons by their reports, and remoteSum the sum of it.
+	remote    map[string]load
+	remoteSum load
+	memory    memory
+	health    health
 	// speed is the engine's reading speed relative to its pool.
 	speed float64
 	// service is the smoothed time of a plain request at an idle slot.
@@ -76,23 +72,30 @@
 
 func newEndpoint(now time.Time, info traffic.Endpoint) *endpoint {
 	return &endpoint{
-		Endpoint: info, hash: hashID(info), remote: map[string]remoteLoad{}, speed: 1,
+		Endpoint: info, hash: hashID(info), remote: map[string]load{}, speed: 1, memory: newMemory(),
 		service: initialService, progressAt: now,
 	}
 }
 
 // load returns the load by all daemons.
-func (e *endpoint) load(now time.Time) load {
+func (e *endpoint) load() load {
 	total := e.own
 	total.add(e.hosted)
-	for _, r := range e.remote {
-		if now.Sub(r.at) < remoteAge {
-			total.add(r.load)
-		}
-	}
+	total.add(e.remoteSum)
 	return total
 }
 
+// setRemote replaces the load of another daemon.
+func (e *endpoint) setRemote(daemon string, l load) {
+	e.remoteSum.sub(e.remote[daemon])
+	if l == (load{}) {
+		delete(e.remote, daemon)
+		return
+	}
+	e.remote[daemon] = l
+	e.remoteSum.add(l)
+}
+
 // requests returns the number of requests that this daemon knows to be running there.
 func (e *endpoint) requests() int { return e.own.streams + e.hosted.streams }
 
@@ -105,10 +108,11 @@
 func (e *endpoint) readingSpeed(p *pool) float64 { return p.speed * e.speed }
 
 // plainWait returns the expected time of one more request at a plain service.
-func (e *endpoint) plainWait(now time.Time) time.Duration {
+func (e *endpoint) plainWait() time.Duration {
 	slots := max(e.Slots, 1)
-	waiting := max(e.load(now).streams+1-slots, 0)
-	busy := float64(min(e.load(now).streams, slots)) / float64(slots)
+	streams := e.load().streams
+	waiting := max(streams+1-slots, 0)
+	busy := float64(min(streams, slots)) / float64(slots)
 	// A little cost for taken slots spreads the requests before a queue forms.
 	return time.Duration(float64(e.service) * (1 + 0.3*busy + float64(waiting)/float64(slots)))
 }
@@ -124,6 +128,7 @@
 	epoch   int
 	plain   bool
 	chain   Chain
+	output  int
 	ahead   int
 	started time.Time
 	first   bool
@@ -164,10 +169,12 @@
 	if e.requests() == 0 {
 		e.progressAt = now
 	}
-	t.ahead = e.load(now).unread + c.Read
+	t.ahead = e.load().unread + c.Read
 	t.apply(t.load)
 	if !t.plain {
 		t.chain = r.Chain
+		t.output = r.Output
+		e.memory.add(t.chain, t.output)
 		b.cache.promise(now, t.chain, e.hash)
 	}
 	e.health.began(now)
@@ -255,6 +262,9 @@
 		rest.unread = -t.load.unread
 	}
 	t.apply(rest)
+	if !t.plain {
+		e.memory.remove(t.chain, t.output)
+	}
 	switch o {
 	case Served:
 		e.progressAt = now
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -25,6 +25,10 @@
 	Chain Chain
 	// Output is the expected number of generated tokens.
 	Output int
+	// Tier is the rank of the route's class, 0 first.
+	Tier int
+	// Remaining is the time until the request's deadline.
+	Remaining time.Duration
 	// FirstByte is the latency target; zero means none.
 	FirstByte time.Duration
 	// Avoid lists hashes of endpoints that must not be chosen.
@@ -42,6 +46,8 @@
 	Read int
 	// Wait is the expected time to the first byte.
 	Wait time.Duration
+	// Full says that the engine's memory is too small for the request beside those that run there.
+	Full bool
 	// Cost is the expected loss, in shares of a request's worth; for logs.
 	Cost float64
 }
@@ -69,6 +75,8 @@
 	zoneWeight = 0.05
 	// failureWeight is the loss for a failure that is certain.
 	failureWeight = 1.5
+	// fullWeight is the loss at an engine whose memory runs out, which preempts requests.
+	fullWeight = 4.0
 	// silentWeight is the loss at an endpoint that has sent nothing for a while although requests run there.
 	silentWeight = 1.0
 )
@@ -82,6 +90,8 @@
 	demand    *demand
 	// strict has the hashes of the classes with the shortest pauses.
 	strict map[uint32]bool
+	// targets are the classes seen.
+	targets map[uint32]target
 	// epoch grows with each change of the scheduler.
 	epoch int
 }
@@ -90,7 +100,7 @@
 func New() *Board {
 	return &Board{
 		pools: map[string]*pool{}, endpoints: map[string]*endpoint{}, byHash: map[uint32]*endpoint{},
-		cache: newCacheMap(), demand: newDemand(), strict: map[uint32]bool{},
+		cache: newCacheMap(), demand: newDemand(), strict: map[uint32]bool{}, targets: map[uint32]target{},
 	}
 }
 
@@ -119,6 +129,7 @@
 // SetTable replaces the routing table.
 func (b *Board) SetTable(t *traffic.Table) {
 	b.strict, b.demand.strictGap = strictClasses(t)
+	b.targets = map[uint32]target{}
 	for name, p := range t.Pools {
 		if known := b.pools[name]; known != nil {
 			known.Pool = p
@@ -206,14 +217,17 @@
 	sources sources
 }
 
-// Choose returns the endpoint with the least expected loss, or false when none takes requests.
-func (b *Board) Choose(now time.Time, poolName string, r *Request) (Choice, bool) {
+// Choose returns the endpoint with the least expected loss, or why the request is refused.
+func (b *Board) Choose(now time.Time, poolName string, r *Request) (Choice, *Refusal) {
 	p := b.pools[poolName]
 	if p == nil {
-		return Choice{}, false
+		return Choice{}, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetry}
 	}
 	b.updateLanes(now, p)
 	c := &candidate{Request: r, strict: b.strict[r.Class]}
+	if p.Engine != nil {
+		b.targets[r.Class] = target{tier: r.Tier, firstByte: r.FirstByte}
+	}
 	if p.Engine != nil {
 		c.home = p.home(c)
 		c.sources = b.cache.sources(r.Chain, func(engine uint32) bool {
@@ -235,7 +249,10 @@
 			}
 		}
 	}
-	return best, found
+	if !found {
+		return best, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetry}
+	}
+	return best, b.admit(p, c, best)
 }
 
 // rate returns the choice of an endpoint with its cost.
@@ -249,11 +266,11 @@
 		cost += silentWeight
 	}
 	if p.Engine == nil {
-		choice.Wait = e.plainWait(now)
+		choice.Wait = e.plainWait()
 		choice.Cost = cost + lateness(choice.Wait, r.FirstByte)
 		return choice
 	}
-	load := e.load(now)
+	load := e.load()
 	kept := b.cache.kept(r.Chain, e.hash)
 	choice.Read = r.Chain.Total - r.Chain.tokens(kept)
 	if source, more := r.sources.best(e.hash); more > kept {
@@ -271,6 +288,10 @@
 	cost += lateness(choice.Wait, r.FirstByte)
 	cost += streamWeight * float64(load.streams) / float64(max(e.Slots, 1))
 	cost += b.laneCost(p, index, e, load, r, choice.Read)
+	if need := e.memory.need(r.Chain, r.Output); p.Engine.CacheTokens > 0 && need > int(memoryShare*float64(p.Engine.CacheTokens)) {
+		choice.Full = true
+		cost += fullWeight
+	}
 	choice.Cost = cost
 	return choice
 }
