Lower the admission bound while the backlog stands

Change: the bound is 0.7 of the class's target in a burst and 0.25 of it once no request has found a short backlog for 1.5 s.

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -38,10 +38,13 @@
 const (
 	// noEndpointRetry is when endpoints that registered lately may take requests.
 	noEndpointRetry = 500 * time.Millisecond
-	// backlogShare is the part of the tightest target, among the request's class and those that are at least
-	// as urgent, that the backlog in front of a request may take. It keeps a burst of one class from delaying
-	// the first events of the more urgent ones.
-	backlogShare = 0.8
+	// burstShare is the part of a class's target that the backlog in front of a request may take during a
+	// short burst, and standingShare the part while the backlog does not drain: a standing backlog delays
+	// every request and slows the streams without serving more of them.
+	burstShare    = 0.7
+	standingShare = 0.25
+	// burstTime is how long a backlog may last until it counts as standing.
+	burstTime = 1500 * time.Millisecond
 	// deadlineShare is the part of the remaining time after which the first event is too late for the rest of
 	// the answer to arrive.
 	deadlineShare = 0.6
@@ -59,46 +62,50 @@
 // admit decides whether a request is sent to the best endpoint. It answers bursts above the capacity: what
 // cannot be served in time is refused at once, the least urgent classes first, because an engine whose
 // backlog grows beyond the targets serves nobody in time.
-func (b *Board) admit(p *pool, r *candidate, best Choice) *Refusal {
+func (b *Board) admit(now time.Time, p *pool, r *candidate, best Choice) *Refusal {
 	if p.Engine == nil {
 		return nil
 	}
 	if r.Remaining > 0 && best.Wait > time.Duration(deadlineShare*float64(r.Remaining)) {
 		return &Refusal{Reason: Hopeless, RetryAfter: retryAfter(best.Wait)}
 	}
-	bound, lowest := b.backlogBound(r)
-	if !lowest {
+	if !b.leastUrgent(r) {
 		return nil
 	}
+	bound := p.backlogBound(now, r.FirstByte, best.Wait)
 	if best.Wait > bound || best.Full {
 		return &Refusal{Reason: Overload, RetryAfter: retryAfter(best.Wait - bound)}
 	}
 	return nil
 }
 
-// backlogBound returns the longest wait at which a request is admitted, and whether its class is the least
-// urgent one of those seen: only that one is refused for overload.
-func (b *Board) backlogBound(r *candidate) (bound time.Duration, lowest bool) {
-	lowest = true
-	tightest := r.FirstByte
-	several := false
-	for class, t := range b.targets {
-		if t.firstByte <= 0 || class == r.Class || b.strict[class] {
-			several = several || class != r.Class
-			continue
-		}
-		several = true
-		if t.tier <= r.Tier {
-			tightest = min(tightest, t.firstByte)
-		}
+// leastUrgent says whether a request's class is the least urgent one of those seen. Only that one is
+// refused for overload. Classes with strict pauses have engines of their own, so that refusing them makes
+// no room for others.
+func (b *Board) leastUrgent(r *candidate) bool {
+	if r.FirstByte <= 0 || (r.strict && len(b.targets) > 1) {
+		return false
+	}
+	for _, t := range b.targets {
 		if t.tier > r.Tier {
-			lowest = false
+			return false
 		}
 	}
-	if b.strict[r.Class] && several {
-		lowest = false
+	return true
+}
+
+// backlogBound returns the longest wait at which a request is admitted, by how long the backlog has lasted.
+func (p *pool) backlogBound(now time.Time, target, wait time.Duration) time.Duration {
+	standing := time.Duration(standingShare * float64(target))
+	switch {
+	case wait < standing:
+		p.backlogSince = time.Time{}
+	case p.backlogSince.IsZero():
+		p.backlogSince = now
+	case now.Sub(p.backlogSince) > burstTime:
+		return standing
 	}
-	return time.Duration(backlogShare * float64(tightest)), lowest && tightest > 0
+	return time.Duration(burstShare * float64(target))
 }
 
 func retryAfter(excess time.Duration) time.Duration { return min(max(excess, minRetry), maxRetry) }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -111,6 +111,8 @@
 	lanes     lanes
 	// speed is the reading speed of an engine in tokens per millisecond, from all engines of the pool.
 	speed float64
+	// backlogSince is since when the backlog has not been short; zero when it is.
+	backlogSince time.Time
 }
 
 // hashID names an incarnation of an endpoint in reports.
@@ -252,7 +254,7 @@
 	if !found {
 		return best, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetry}
 	}
-	return best, b.admit(p, c, best)
+	return best, b.admit(now, p, c, best)
 }
 
 // rate returns the choice of an endpoint with its cost.
