Keep long prompts off engines with strict streams even under overload

Change: breaking strict pauses costs more than any other choice; engines with half their slots taken refuse the least urgent class; the bound of the backlog is 0.7 of the target throughout.

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -38,13 +38,11 @@
 const (
 	// noEndpointRetry is when endpoints that registered lately may take requests.
 	noEndpointRetry = 500 * time.Millisecond
-	// burstShare is the part of a class's target that the backlog in front of a request may take during a
-	// short burst, and standingShare the part while the backlog does not drain: a standing backlog delays
-	// every request and slows the streams without serving more of them.
-	burstShare    = 0.7
-	standingShare = 0.25
-	// burstTime is how long a backlog may last until it counts as standing.
-	burstTime = 1500 * time.Millisecond
+	// backlogShare is the part of a class's target that the backlog in front of a request may take.
+	backlogShare = 0.7
+	// crowdedShare is the part of an engine's slots beyond which streams grow slow faster than they end: each
+	// stream waits for the prompts of the others between its tokens.
+	crowdedShare = 0.5
 	// deadlineShare is the part of the remaining time after which the first event is too late for the rest of
 	// the answer to arrive.
 	deadlineShare = 0.6
@@ -62,7 +60,7 @@
 // admit decides whether a request is sent to the best endpoint. It answers bursts above the capacity: what
 // cannot be served in time is refused at once, the least urgent classes first, because an engine whose
 // backlog grows beyond the targets serves nobody in time.
-func (b *Board) admit(now time.Time, p *pool, r *candidate, best Choice) *Refusal {
+func (b *Board) admit(p *pool, r *candidate, best Choice) *Refusal {
 	if p.Engine == nil {
 		return nil
 	}
@@ -72,7 +70,7 @@
 	if !b.leastUrgent(r) {
 		return nil
 	}
-	bound := p.backlogBound(now, r.FirstByte, best.Wait)
+	bound := time.Duration(backlogShare * float64(r.FirstByte))
 	if best.Wait > bound || best.Full {
 		return &Refusal{Reason: Overload, RetryAfter: retryAfter(best.Wait - bound)}
 	}
@@ -94,18 +92,4 @@
 	return true
 }
 
-// backlogBound returns the longest wait at which a request is admitted, by how long the backlog has lasted.
-func (p *pool) backlogBound(now time.Time, target, wait time.Duration) time.Duration {
-	standing := time.Duration(standingShare * float64(target))
-	switch {
-	case wait < standing:
-		p.backlogSince = time.Time{}
-	case p.backlogSince.IsZero():
-		p.backlogSince = now
-	case now.Sub(p.backlogSince) > burstTime:
-		return standing
-	}
-	return time.Duration(burstShare * float64(target))
-}
-
 func retryAfter(excess time.Duration) time.Duration { return min(max(excess, minRetry), maxRetry) }
--- a/internal/placement/lanes.go
+++ b/internal/placement/lanes.go
@@ -85,26 +85,26 @@
 	}
 }
 
-// laneCost is the expected loss for streams when a prompt is read at an endpoint.
+// laneCost is the expected loss for leaving the lane of a class.
 func (b *Board) laneCost(p *pool, index int, e *endpoint, l load, r *candidate, read int) float64 {
-	if p.lanes.strict == 0 {
-		return 0
-	}
-	cost := 0.0
 	inStrict := index < p.lanes.strict
-	budget := b.readBudget(e, p)
-	switch {
-	case r.strict:
-		if !inStrict {
-			cost += laneWeight
-		}
-	case inStrict && float64(l.unread+read) > budget:
-		cost += laneWeight
-	}
-	if over := float64(l.unread+read)/budget - 1; over > 0 && !r.strict {
-		cost += disturbWeight * min(over, 1) * float64(min(l.strict, maxDisturbed))
+	if p.lanes.strict == 0 || inStrict == r.strict || (inStrict && float64(l.unread+read) <= b.readBudget(e, p)) {
+		return 0
 	}
-	return cost
+	return laneWeight
+}
+
+// minDisturbed is the number of strict streams from which an engine is kept free of long prompts.
+const minDisturbed = 2
+
+// disturbs says whether reading a prompt would break the pauses of strict streams.
+func (b *Board) disturbs(p *pool, e *endpoint, l load, r *candidate, read int) bool {
+	return !r.strict && l.strict >= minDisturbed && float64(l.unread+read) > b.readBudget(e, p)
+}
+
+// crowded says whether an engine has so many streams that further prompts slow them beyond use.
+func crowded(e *endpoint, l load, r *candidate) bool {
+	return !r.strict && float64(l.streams) >= crowdedShare*float64(e.Slots)
 }
 
 // home returns the engine that reads a prompt's shared parts first. All daemons agree on it without asking
--- a/internal/placement/memory.go
+++ b/internal/placement/memory.go
@@ -22,6 +22,11 @@
 	return need
 }
 
+// exceeds says whether one more request exceeds what running requests may take.
+func (m *memory) exceeds(c Chain, output, capacity int) bool {
+	return capacity > 0 && m.need(c, output) > int(memoryShare*float64(capacity))
+}
+
 func (m *memory) add(c Chain, output int) {
 	m.tokens = m.need(c, output)
 	if key, ok := c.sharedKey(); ok {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,7 +46,7 @@
 	Read int
 	// Wait is the expected time to the first byte.
 	Wait time.Duration
-	// Full says that the engine's memory is too small for the request beside those that run there.
+	// Full says that the engine has too many streams, or too little memory for the request beside them.
 	Full bool
 	// Cost is the expected loss, in shares of a request's worth; for logs.
 	Cost float64
@@ -65,17 +65,15 @@
 	fetchWeight  = 0.006
 	// streamWeight is the loss when all slots of an engine are taken: each stream slows the others.
 	streamWeight = 0.25
-	// disturbWeight is the loss for each stream with strict pauses that reading this prompt would break.
-	disturbWeight = 0.3
-	// maxDisturbed bounds the streams counted for it.
-	maxDisturbed = 10
+	// disturbWeight is the loss when reading the prompt breaks the pauses of the engine's strict streams.
+	disturbWeight = 8.0
 	// laneWeight is the loss for leaving the request's lane.
 	laneWeight = 0.5
 	// zoneWeight is the loss for crossing availability zones.
 	zoneWeight = 0.05
 	// failureWeight is the loss for a failure that is certain.
 	failureWeight = 1.5
-	// fullWeight is the loss at an engine whose memory runs out, which preempts requests.
+	// fullWeight is the loss at an engine that is full.
 	fullWeight = 4.0
 	// silentWeight is the loss at an endpoint that has sent nothing for a while although requests run there.
 	silentWeight = 1.0
@@ -111,8 +109,6 @@
 	lanes     lanes
 	// speed is the reading speed of an engine in tokens per millisecond, from all engines of the pool.
 	speed float64
-	// backlogSince is since when the backlog has not been short; zero when it is.
-	backlogSince time.Time
 }
 
 // hashID names an incarnation of an endpoint in reports.
@@ -254,7 +250,7 @@
 	if !found {
 		return best, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetry}
 	}
-	return best, b.admit(now, p, c, best)
+	return best, b.admit(p, c, best)
 }
 
 // rate returns the choice of an endpoint with its cost.
@@ -290,7 +286,11 @@
 	cost += lateness(choice.Wait, r.FirstByte)
 	cost += streamWeight * float64(load.streams) / float64(max(e.Slots, 1))
 	cost += b.laneCost(p, index, e, load, r, choice.Read)
-	if need := e.memory.need(r.Chain, r.Output); p.Engine.CacheTokens > 0 && need > int(memoryShare*float64(p.Engine.CacheTokens)) {
+	if b.disturbs(p, e, load, r, choice.Read) {
+		choice.Full = true
+		cost += disturbWeight
+	}
+	if crowded(e, load, r) || e.memory.exceeds(r.Chain, r.Output, p.Engine.CacheTokens) {
 		choice.Full = true
 		cost += fullWeight
 	}
