Give strict classes an exclusive but smaller lane

Cause: reading 40 in 100 of a strict pause several times a second breaks a pause within the life of most streams, and the strict lane had twice its share of the engines.

Change: prompts of other classes may take 15 in 100 of a strict pause, and the strict lane has 1.4 times its share.

--- a/internal/placement/lanes.go
+++ b/internal/placement/lanes.go
@@ -12,13 +12,13 @@
 	strictRatio = 1.3
 	// strictFactor is how much more room the strict lane gets than its share of the work, so that prompts
 	// rarely meet on one of its engines.
-	strictFactor = 2.0
+	strictFactor = 1.4
 	// laneInterval is the time between two adjustments of the lanes.
 	laneInterval = 250 * time.Millisecond
 	// laneStep is the part of an engine by which the wanted size must differ from the present one.
 	laneStep = 0.7
 	// gapShare is the part of a pause target that reading prompts may take without breaking it.
-	gapShare = 0.4
+	gapShare = 0.15
 )
 
 // lanes splits a pool's engines: the first ones serve classes with strict pauses, the others long prompts.
