Correct the expected wait by what was seen

Change: the ratio of the actual to the expected time and its deviation correct the wait that admission compares with the target.

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -39,7 +39,7 @@
 	// noEndpointRetry is when endpoints that registered lately may take requests.
 	noEndpointRetry = 500 * time.Millisecond
 	// backlogShare is the part of a class's target that the backlog in front of a request may take.
-	backlogShare = 0.7
+	backlogShare = 0.8
 	// crowdedShare is the part of an engine's slots beyond which streams grow slow faster than they end: each
 	// stream waits for the prompts of the others between its tokens.
 	crowdedShare = 0.5
@@ -64,15 +64,16 @@
 	if p.Engine == nil {
 		return nil
 	}
-	if r.Remaining > 0 && best.Wait > time.Duration(deadlineShare*float64(r.Remaining)) {
-		return &Refusal{Reason: Hopeless, RetryAfter: retryAfter(best.Wait)}
+	wait := p.calibration.correct(best.Wait)
+	if r.Remaining > 0 && wait > time.Duration(deadlineShare*float64(r.Remaining)) {
+		return &Refusal{Reason: Hopeless, RetryAfter: retryAfter(wait)}
 	}
 	if !b.leastUrgent(r) {
 		return nil
 	}
 	bound := time.Duration(backlogShare * float64(r.FirstByte))
-	if best.Wait > bound || best.Full {
-		return &Refusal{Reason: Overload, RetryAfter: retryAfter(best.Wait - bound)}
+	if wait > bound || best.Full {
+		return &Refusal{Reason: Overload, RetryAfter: retryAfter(wait - bound)}
 	}
 	return nil
 }
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -125,14 +125,15 @@
 	load  load
 	owner Owner
 	// epoch is the scheduler's at the start; a later scheduler does not know the attempt.
-	epoch   int
-	plain   bool
-	chain   Chain
-	output  int
-	ahead   int
-	started time.Time
-	first   bool
-	ended   bool
+	epoch    int
+	plain    bool
+	chain    Chain
+	output   int
+	expected time.Duration
+	ahead    int
+	started  time.Time
+	first    bool
+	ended    bool
 }
 
 // Owner says whose attempt it is.
@@ -161,7 +162,7 @@
 func (b *Board) Start(now time.Time, poolName string, r *Request, c Choice, owner Owner) *Ticket {
 	p := b.pools[poolName]
 	e := b.endpoint(now, c.Endpoint)
-	t := &Ticket{board: b, pool: p, e: e, started: now, owner: owner, epoch: b.epoch, plain: p == nil || p.Engine == nil}
+	t := &Ticket{board: b, pool: p, e: e, started: now, owner: owner, epoch: b.epoch, expected: c.Wait, plain: p == nil || p.Engine == nil}
 	t.load = load{unread: c.Read, streams: 1}
 	if b.strict[r.Class] {
 		t.load.strict = 1
@@ -208,6 +209,9 @@
 		return
 	}
 	t.measure(now)
+	if t.pool != nil {
+		t.pool.calibration.observe(t.expected, now.Sub(t.started))
+	}
 	t.board.cache.confirm(now, t.chain, t.e.hash, t.capacity())
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -108,7 +108,12 @@
 	endpoints []*endpoint
 	lanes     lanes
 	// speed is the reading speed of an engine in tokens per millisecond, from all engines of the pool.
-	speed float64
+	speed       float64
+	calibration calibration
+}
+
+func newPool(p traffic.Pool) *pool {
+	return &pool{Pool: p, speed: initialSpeed, calibration: newCalibration()}
 }
 
 // hashID names an incarnation of an endpoint in reports.
@@ -133,7 +138,7 @@
 			known.Pool = p
 			continue
 		}
-		b.pools[name] = &pool{Pool: p, speed: initialSpeed}
+		b.pools[name] = newPool(p)
 	}
 }
 
@@ -154,7 +159,7 @@
 	for name, list := range byPool {
 		p := b.pools[name]
 		if p == nil {
-			p = &pool{Pool: traffic.Pool{Name: name}, speed: initialSpeed}
+			p = newPool(traffic.Pool{Name: name})
 			b.pools[name] = p
 		}
 		for _, info := range list {
