Shorten the admitted backlog while many requests are refused

Change: the bound is 0.8 of the target while up to 12 in 100 requests of the least urgent class are refused and 0.4 from 45 in 100 on. With excess demand a shorter backlog serves as many requests, but faster.

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Reason says why a request is refused.
 type Reason uint8
@@ -38,8 +41,17 @@
 const (
 	// noEndpointRetry is when endpoints that registered lately may take requests.
 	noEndpointRetry = 500 * time.Millisecond
-	// backlogShare is the part of a class's target that the backlog in front of a request may take.
-	backlogShare = 0.8
+	// calmShare is the part of a class's target that the wait of a request may take while few are refused,
+	// and overloadShare the part while many are: when there is more demand than capacity anyway, a shorter
+	// backlog serves as many requests, but faster.
+	calmShare     = 0.8
+	overloadShare = 0.4
+	// calmUntil is the share of refused requests up to which calmShare holds, and overloadedFrom the one from
+	// which on overloadShare does.
+	calmUntil      = 0.12
+	overloadedFrom = 0.45
+	// pressureMemory is the time in which the weight of past refusals halves.
+	pressureMemory = 1500 * time.Millisecond
 	// crowdedShare is the part of an engine's slots beyond which streams grow slow faster than they end: each
 	// stream waits for the prompts of the others between its tokens.
 	crowdedShare = 0.5
@@ -60,7 +72,7 @@
 // admit decides whether a request is sent to the best endpoint. It answers bursts above the capacity: what
 // cannot be served in time is refused at once, the least urgent classes first, because an engine whose
 // backlog grows beyond the targets serves nobody in time.
-func (b *Board) admit(p *pool, r *candidate, best Choice) *Refusal {
+func (b *Board) admit(now time.Time, p *pool, r *candidate, best Choice) *Refusal {
 	if p.Engine == nil {
 		return nil
 	}
@@ -71,13 +83,47 @@
 	if !b.leastUrgent(r) {
 		return nil
 	}
-	bound := time.Duration(backlogShare * float64(r.FirstByte))
-	if wait > bound || best.Full {
+	bound := time.Duration(p.pressure.share(now) * float64(r.FirstByte))
+	refused := wait > bound || best.Full
+	p.pressure.count(now, refused)
+	if refused {
 		return &Refusal{Reason: Overload, RetryAfter: retryAfter(wait - bound)}
 	}
 	return nil
 }
 
+// pressure is the share of requests of the least urgent class that were refused lately.
+type pressure struct {
+	asked   float64
+	refused float64
+	at      time.Time
+}
+
+func (l *pressure) decay(now time.Time) {
+	keep := math.Exp2(-float64(now.Sub(l.at)) / float64(pressureMemory))
+	l.asked *= keep
+	l.refused *= keep
+	l.at = now
+}
+
+func (l *pressure) count(now time.Time, refused bool) {
+	l.decay(now)
+	l.asked++
+	if refused {
+		l.refused++
+	}
+}
+
+// share returns the part of the target that a wait may take.
+func (l *pressure) share(now time.Time) float64 {
+	l.decay(now)
+	if l.asked < 1 {
+		return calmShare
+	}
+	overload := min(max((l.refused/l.asked-calmUntil)/(overloadedFrom-calmUntil), 0), 1)
+	return calmShare - (calmShare-overloadShare)*overload
+}
+
 // leastUrgent says whether a request's class is the least urgent one of those seen. Only that one is
 // refused for overload. Classes with strict pauses have engines of their own, so that refusing them makes
 // no room for others.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -110,6 +110,7 @@
 	// speed is the reading speed of an engine in tokens per millisecond, from all engines of the pool.
 	speed       float64
 	calibration calibration
+	pressure    pressure
 }
 
 func newPool(p traffic.Pool) *pool {
@@ -255,7 +256,7 @@
 	if !found {
 		return best, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetry}
 	}
-	return best, b.admit(p, c, best)
+	return best, b.admit(now, p, c, best)
 }
 
 // rate returns the choice of an endpoint with its cost.
