--- /dev/null
+++ b/internal/fleet/members_test.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/chivewind/chivewind/peer"
+)
+
+func testIdentity(name, zone string) *peer.Identity {
+	return &peer.Identity{Daemon: name, Zone: zone, EntryAddress: name + ":80", ReportAddress: "127.0.0.1:1", ControlAddress: name + ":81", Capacity: 400}
+}
+
+// heard returns a list in which the named daemons were heard at a time, ready and in touch with the store.
+func heard(self *peer.Identity, at time.Time, others ...*peer.Identity) *Members {
+	m := NewMembers(self)
+	for _, id := range others {
+		m.Receive(at, &peer.Report{Daemon: id.Daemon, Incarnation: 1, Sequence: 1, State: peer.DaemonState_DAEMON_STATE_READY, Identity: id})
+	}
+	return m
+}
+
+// TestMembersReceive guards against reports that arrive out of order or from an earlier process.
+func TestMembersReceive(t *testing.T) {
+	m := NewMembers(testIdentity("a", "z"))
+	b := testIdentity("b", "z")
+	for _, c := range []struct {
+		desc                  string
+		incarnation, sequence uint64
+		identity              *peer.Identity
+		want                  bool
+	}{
+		{"unknown sender", 1, 1, nil, false},
+		{"first", 1, 2, b, true},
+		{"repeated", 1, 2, nil, false},
+		{"overtaken", 1, 1, nil, false},
+		{"next", 1, 3, nil, true},
+		{"restarted", 2, 1, nil, true},
+		{"from before the restart", 1, 9, nil, false},
+	} {
+		got := m.Receive(start, &peer.Report{Daemon: "b", Incarnation: c.incarnation, Sequence: c.sequence, Identity: c.identity}) != nil
+		if got != c.want {
+			t.Errorf("%s: taken %v, want %v", c.desc, got, c.want)
+		}
+	}
+}
+
+// TestEntryAddresses guards against callers being sent to daemons that are dead, leaving or starting, and
+// against a single address where there are more.
+func TestEntryAddresses(t *testing.T) {
+	m := heard(testIdentity("a", "z1"), start, testIdentity("b", "z1"), testIdentity("c", "z2"), testIdentity("d", "z3"))
+	if got := m.EntryAddresses(start, "z1", true); !slices.Contains(got, "a:80") || !slices.Contains(got, "b:80") || len(got) != 2 {
+		t.Errorf("own zone: %v", got)
+	}
+	if got := m.EntryAddresses(start, "z2", true); len(got) != 2 || got[0] != "c:80" {
+		t.Errorf("zone with one daemon: %v", got)
+	}
+	if got := m.EntryAddresses(start, "elsewhere", true); len(got) != 2 {
+		t.Errorf("unknown zone: %v", got)
+	}
+	m.Receive(start, &peer.Report{Daemon: "b", Incarnation: 1, Sequence: 2, State: peer.DaemonState_DAEMON_STATE_LEAVING})
+	if got := m.EntryAddresses(start, "z1", true); slices.Contains(got, "b:80") {
+		t.Errorf("a leaving daemon is named: %v", got)
+	}
+	if got := m.EntryAddresses(start.Add(time.Minute), "z2", true); len(got) != 1 || got[0] != "a:80" {
+		t.Errorf("all others silent: %v", got)
+	}
+	if got := m.EntryAddresses(start.Add(time.Minute), "z2", false); len(got) != 0 {
+		t.Errorf("nobody ready: %v", got)
+	}
+}
+
+// TestWatchers guards against a fleet in which each daemon watches the store, and against one in which none
+// does because the chosen ones have lost it.
+func TestWatchers(t *testing.T) {
+	var ids []*peer.Identity
+	for i := range 40 {
+		ids = append(ids, testIdentity(fmt.Sprintf("d%02d", i), "z"))
+	}
+	watching := 0
+	for i, self := range ids {
+		others := slices.Delete(slices.Clone(ids), i, i+1)
+		m := heard(self, start, others...)
+		if m.MustWatch(start, watchFreshness) {
+			watching++
+		}
+		if !m.MustWatch(start.Add(watchFreshness), watchFreshness) {
+			t.Errorf("%s relies on watchers that it has not heard for %s", self.Daemon, watchFreshness)
+		}
+	}
+	if watching != watcherCount {
+		t.Errorf("%d daemons watch, want %d", watching, watcherCount)
+	}
+	m := heard(ids[0], start, ids[1:]...)
+	for _, id := range ids[1:] {
+		m.Receive(start, &peer.Report{Daemon: id.Daemon, Incarnation: 1, Sequence: 2, State: peer.DaemonState_DAEMON_STATE_READY, StoreAgeMs: 1 << 30})
+	}
+	if !m.MustWatch(start, watchFreshness) {
+		t.Error("a daemon relies on watchers that have lost the store")
+	}
+}
+
+// TestSchedulers guards against daemons that ask different schedulers, and against a small VM that
+// schedules for large ones.
+func TestSchedulers(t *testing.T) {
+	a, b, c := testIdentity("a", "z"), testIdentity("b", "z"), testIdentity("c", "z")
+	b.Capacity = 800
+	for _, m := range []*Members{heard(a, start, b, c), heard(b, start, a, c), heard(c, start, a, b)} {
+		if got := m.Schedulers(start, true); len(got) != 3 || got[0].Identity.Daemon != "b" {
+			t.Errorf("%s asks %s first", m.self.Daemon, got[0].Identity.Daemon)
+		}
+	}
+	m := heard(a, start, b, c)
+	m.Receive(start, &peer.Report{Daemon: "b", Incarnation: 1, Sequence: 2, State: peer.DaemonState_DAEMON_STATE_LEAVING})
+	if got := m.Schedulers(start, true); got[0].Identity.Daemon == "b" {
+		t.Error("a leaving daemon is asked")
+	}
+}
--- /dev/null
+++ b/internal/fleet/view_test.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chivewind/chivewind/platform"
+	"github.com/chivewind/chivewind/traffic"
+)
+
+// testCodec reads a table as its version, and an endpoint as its pool, with a "-" before it when it drains.
+var testCodec = Codec{
+	TableKey: "table", EndpointPrefix: "e/", DaemonPrefix: "d/",
+	DecodeTable: func(raw []byte) (*traffic.Table, error) {
+		version, err := strconv.ParseInt(string(raw), 10, 64)
+		if err != nil {
+			return nil, err
+		}
+		return &traffic.Table{Version: version}, nil
+	},
+	DecodeEndpoint: func(id string, raw []byte) (traffic.Endpoint, error) {
+		if len(raw) == 0 {
+			return traffic.Endpoint{}, errors.New("empty")
+		}
+		e := traffic.Endpoint{ID: id, Pool: string(raw)}
+		if raw[0] == '-' {
+			e.Pool, e.State = string(raw[1:]), traffic.EndpointDraining
+		}
+		return e, nil
+	},
+}
+
+func newTestState() *State { return NewState(testCodec, nil) }
+
+var start = time.Unix(1000, 0)
+
+// TestStateNeverReverts guards against a late message or a malformed value replacing newer state.
+func TestStateNeverReverts(t *testing.T) {
+	s := newTestState()
+	s.Apply(start, "table", 5, []byte("50"))
+	s.Apply(start, "table", 4, []byte("40"))
+	s.Apply(start, "table", 6, []byte("broken"))
+	if v := s.View(start).Table.Version; v != 50 {
+		t.Errorf("version %d, want 50", v)
+	}
+	s.Apply(start, "table", 7, []byte("70"))
+	s.Apply(start, "table", 8, nil)
+	if v := s.View(start).Table.Version; v != 70 {
+		t.Errorf("version %d after a removal, want 70", v)
+	}
+	s.Apply(start, "e/1", 9, nil)
+	s.Apply(start, "e/1", 8, []byte("pool"))
+	if _, ok := s.View(start).Endpoints["1"]; ok {
+		t.Error("an endpoint that left came back by an older message")
+	}
+}
+
+// TestStateListing guards against endpoints that left while nobody watched, and against dropping one that
+// registered after the listing.
+func TestStateListing(t *testing.T) {
+	s := newTestState()
+	s.ApplyListing(start, 10, []platform.KeyValue{
+		{Key: "table", ModRevision: 3, Value: []byte("1")}, {Key: "e/1", ModRevision: 4, Value: []byte("p")},
+		{Key: "e/2", ModRevision: 5, Value: []byte("p")}, {Key: "other", ModRevision: 9},
+	})
+	if got := s.Revision(); got != 5 {
+		t.Errorf("revision %d, want that of the newest relevant key", got)
+	}
+	s.Apply(start, "e/3", 22, []byte("p"))
+	s.ApplyListing(start, 20, []platform.KeyValue{{Key: "table", ModRevision: 3, Value: []byte("1")}, {Key: "e/1", ModRevision: 15, Value: []byte("-p")}})
+	v := s.View(start)
+	if len(v.Endpoints) != 2 || len(v.ByPool["p"]) != 1 || v.ByPool["p"][0].ID != "3" {
+		t.Errorf("endpoints %+v", v.Endpoints)
+	}
+	if got := s.Revision(); got != 20 {
+		t.Errorf("revision %d after a removal, want 20", got)
+	}
+}
+
+// TestStateLapse guards against losing all endpoints when their entries lapse while the store is away, and
+// against using one longer than the drain bound after its removal became known.
+func TestStateLapse(t *testing.T) {
+	for _, c := range []struct {
+		desc   string
+		outage bool
+		state  string
+		after  time.Duration
+		want   bool
+	}{
+		{"removed in calm", false, "p", 0, false},
+		{"lapsed around an outage", true, "p", time.Second, true},
+		{"still missing", true, "p", 1800 * time.Millisecond, false},
+		{"draining before", true, "-p", 0, false},
+	} {
+		s := newTestState()
+		s.SetDrainBound(2 * time.Second)
+		s.Apply(start, "e/1", 1, []byte(c.state))
+		if c.outage {
+			s.StoreReturned(start)
+		}
+		s.ApplyListing(start, 5, nil)
+		if _, got := s.View(start.Add(c.after)).Endpoints["1"]; got != c.want {
+			t.Errorf("%s: known %v, want %v", c.desc, got, c.want)
+		}
+	}
+	s := newTestState()
+	s.Apply(start, "e/1", 1, []byte("p"))
+	s.StoreReturned(start)
+	s.Apply(start, "e/1", 2, nil)
+	s.Apply(start.Add(time.Second), "e/1", 3, []byte("p"))
+	if _, ok := s.View(start.Add(time.Minute)).Endpoints["1"]; !ok {
+		t.Error("an endpoint that registered again was dropped")
+	}
+}
+
+// TestStateExchange guards against daemons that disagree after they have told each other their state, in
+// whatever order changes reached them.
+func TestStateExchange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := newTestState(), newTestState()
+		changes := rapid.IntRange(1, 30).Draw(t, "changes")
+		for revision := int64(1); revision <= int64(changes); revision++ {
+			key := fmt.Sprintf("e/%d", rapid.IntRange(0, 4).Draw(t, "key"))
+			var value []byte
+			if rapid.Bool().Draw(t, "put") {
+				value = []byte("p")
+			}
+			for _, s := range []*State{a, b} {
+				if rapid.Bool().Draw(t, "seen") {
+					s.Apply(start, key, revision, value)
+				}
+			}
+			a.Advance(0)
+		}
+		for _, pair := range [][2]*State{{a, b}, {b, a}} {
+			for _, e := range pair[0].Since(0) {
+				pair[1].Apply(start, e.Key, e.Revision, e.Value)
+			}
+		}
+		va, vb := a.View(start), b.View(start)
+		if len(va.Endpoints) != len(vb.Endpoints) {
+			t.Fatalf("%v and %v", va.Endpoints, vb.Endpoints)
+		}
+	})
+}
