--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -71,6 +71,9 @@
 	laneWeight = 0.5
 	// zoneWeight is the loss for crossing availability zones.
 	zoneWeight = 0.05
+	// queueWeight is the loss for waiting for a slot of a plain service. It exceeds zoneWeight, so that no
+	// request waits while another endpoint has a free slot.
+	queueWeight = 0.1
 	// failureWeight is the loss for a failure that is certain.
 	failureWeight = 1.5
 	// fullWeight is the loss at an engine that is full.
@@ -270,6 +273,9 @@
 		cost += silentWeight
 	}
 	if p.Engine == nil {
+		if e.load().streams >= max(e.Slots, 1) {
+			cost += queueWeight
+		}
 		choice.Wait = e.plainWait()
 		choice.Cost = cost + lateness(choice.Wait, r.FirstByte)
 		return choice
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,211 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/chivewind/chivewind/peer"
+	"github.com/chivewind/chivewind/traffic"
+)
+
+var start = time.Unix(1000, 0)
+
+// testBoard returns a board with a pool of engines "p" and a plain pool "q", alternating between two zones.
+func testBoard(engines, plain int) *Board {
+	b := New()
+	b.SetTable(&traffic.Table{Pools: map[string]traffic.Pool{
+		"p": {Name: "p", Engine: &traffic.Engine{Slots: 64, CacheTokens: 100000, TokenBytes: 18432, LinkBytesPerMs: 11e6}}, "q": {Name: "q"},
+	}})
+	byPool, all := map[string][]traffic.Endpoint{}, map[string]traffic.Endpoint{}
+	add := func(pool string, n, slots int) {
+		for i := range n {
+			e := traffic.Endpoint{ID: fmt.Sprintf("%s%d", pool, i), Pool: pool, Zone: fmt.Sprintf("z%d", i%2), Slots: slots, Address: fmt.Sprintf("%s%d:1", pool, i)}
+			byPool[pool] = append(byPool[pool], e)
+			all[e.ID] = e
+		}
+	}
+	add("p", engines, 64)
+	add("q", plain, 6)
+	b.SetEndpoints(start, byPool, all)
+	return b
+}
+
+func testPrompt(thing string, shared, own int) Chain {
+	return NewChain(&traffic.Prompt{Tokens: shared + own, Parts: []traffic.Part{{ID: thing, Tokens: shared}, {ID: thing + "-own", Tokens: own}}})
+}
+
+func mustChoose(t *testing.T, b *Board, now time.Time, pool string, r *Request) Choice {
+	t.Helper()
+	c, refusal := b.Choose(now, pool, r)
+	if refusal != nil {
+		t.Fatalf("refused: %s", refusal.Reason)
+	}
+	return c
+}
+
+// TestSharedPartsAreReadOnce guards against several engines reading the same parts, before and after one
+// of them has them.
+func TestSharedPartsAreReadOnce(t *testing.T) {
+	b := testBoard(9, 0)
+	r := &Request{Class: 1, Zone: "z0", Chain: testPrompt("a", 8000, 100), FirstByte: 2 * time.Second}
+	first := mustChoose(t, b, start, "p", r)
+	ticket := b.Start(start, "p", r, first, Own)
+	if second := mustChoose(t, b, start, "p", r); second.Hash != first.Hash {
+		t.Error("a part that is being read is read by another engine too")
+	}
+	// Another daemon that knows nothing of the first request.
+	other := testBoard(9, 0)
+	if choice := mustChoose(t, other, start, "p", r); choice.Hash != first.Hash {
+		t.Error("two daemons let different engines read a new part")
+	}
+	ticket.Event(start.Add(time.Second))
+	ticket.End(start.Add(2*time.Second), Served)
+	r.Avoid = []uint32{first.Hash}
+	if c := mustChoose(t, b, start.Add(2*time.Second), "p", r); c.FetchFrom != first.Hash || c.Read > 100 {
+		t.Errorf("the parts are read again: %+v", c)
+	}
+	report := &peer.Report{Daemon: "d"}
+	b.FillReport(start, report)
+	other.HandleReport(start, report, false)
+	if c := mustChoose(t, other, start, "p", r); c.FetchFrom != first.Hash {
+		t.Error("another daemon does not know who has the parts after a report")
+	}
+}
+
+// TestRestartedEndpointHasNothing guards against cached parts and loads of an earlier incarnation.
+func TestRestartedEndpointHasNothing(t *testing.T) {
+	b := testBoard(1, 0)
+	r := &Request{Class: 1, Zone: "z0", Chain: testPrompt("a", 8000, 100), FirstByte: 2 * time.Second}
+	ticket := b.Start(start, "p", r, mustChoose(t, b, start, "p", r), Own)
+	ticket.Event(start)
+	ticket.End(start, Served)
+	if c := mustChoose(t, b, start, "p", r); c.Read != 0 {
+		t.Fatalf("%d tokens to read right after the same request", c.Read)
+	}
+	e := traffic.Endpoint{ID: "p0", Pool: "p", Zone: "z0", Slots: 64, Born: 5}
+	b.SetEndpoints(start, map[string][]traffic.Endpoint{"p": {e}}, map[string]traffic.Endpoint{"p0": e})
+	if c := mustChoose(t, b, start, "p", r); c.Read != 8100 {
+		t.Errorf("%d tokens to read after a restart, want 8100", c.Read)
+	}
+}
+
+// TestUnreachableEndpoint guards against requests sent to an endpoint that just failed, against one that is
+// never tried again, and against a refusal when all seem down.
+func TestUnreachableEndpoint(t *testing.T) {
+	b := testBoard(0, 2)
+	r := &Request{Zone: "z0", FirstByte: 300 * time.Millisecond}
+	first := mustChoose(t, b, start, "q", r)
+	b.Start(start, "q", r, first, Own).End(start, Unreachable)
+	second := mustChoose(t, b, start, "q", r)
+	if second.Hash == first.Hash {
+		t.Error("an unreachable endpoint is chosen at once")
+	}
+	b.Start(start, "q", r, second, Own).End(start, Unreachable)
+	mustChoose(t, b, start, "q", r)
+	later := start.Add(firstPause)
+	trial := b.Start(later, "q", r, Choice{Endpoint: first.Endpoint, Hash: first.Hash}, Own)
+	if c := mustChoose(t, b, later, "q", r); c.Hash == first.Hash {
+		t.Error("an endpoint on trial gets a second request")
+	}
+	trial.End(later, Served)
+	again := false
+	for range 4 {
+		c := mustChoose(t, b, later, "q", r)
+		b.Start(later, "q", r, c, Own)
+		again = again || c.Hash == first.Hash
+	}
+	if !again {
+		t.Error("an endpoint that serves again gets no requests")
+	}
+}
+
+// TestPlainLoadIsSpread guards against requests that wait for a slot while another endpoint has a free one, and against a slow or
+// failing one that keeps its share.
+func TestPlainLoadIsSpread(t *testing.T) {
+	b := testBoard(0, 4)
+	r := &Request{Zone: "z0", FirstByte: 300 * time.Millisecond}
+	counts := map[uint32]int{}
+	for range 24 {
+		c := mustChoose(t, b, start, "q", r)
+		b.Start(start, "q", r, c, Own)
+		counts[c.Hash]++
+	}
+	for hash, n := range counts {
+		if n > 6 {
+			t.Errorf("endpoint %d has %d of 24 requests at 6 slots while others have free ones", hash, n)
+		}
+	}
+	b = testBoard(0, 4)
+	bad := mustChoose(t, b, start, "q", r)
+	for range 10 {
+		b.Start(start, "q", r, bad, Own).End(start, Failed)
+	}
+	if c := mustChoose(t, b, start, "q", r); c.Hash == bad.Hash {
+		t.Error("an endpoint that fails all requests is preferred")
+	}
+}
+
+// TestMemoryIsNotOvercommitted guards against requests that an engine must preempt for lack of memory.
+func TestMemoryIsNotOvercommitted(t *testing.T) {
+	b := testBoard(1, 0)
+	for i := range 200 {
+		r := &Request{Class: 1, Zone: "z0", Chain: testPrompt(fmt.Sprint(i), 0, 1000), Output: 500, FirstByte: time.Hour}
+		c, refusal := b.Choose(start, "p", r)
+		if refusal != nil {
+			break
+		}
+		b.Start(start, "p", r, c, Own).Event(start)
+	}
+	if got := b.endpoints["p0"].memory.tokens; got > 100000 {
+		t.Errorf("%d tokens in use of 100000", got)
+	}
+}
+
+// TestLoadReturnsToZero guards against loads that leak and make an endpoint look busy for good, for each
+// owner of a request and across a change of the scheduler.
+func TestLoadReturnsToZero(t *testing.T) {
+	for _, owner := range []Owner{Own, Scheduled, Hosted} {
+		b := testBoard(1, 0)
+		r := &Request{Class: 1, Zone: "z0", Chain: testPrompt("a", 500, 100), Output: 10, FirstByte: time.Second}
+		c := mustChoose(t, b, start, "p", r)
+		begun := b.Start(start, "p", r, c, owner)
+		running := b.Start(start, "p", r, c, owner)
+		running.Event(start)
+		b.NewScheduler()
+		for _, ticket := range []*Ticket{begun, running} {
+			ticket.End(start, Abandoned)
+			ticket.End(start, Abandoned)
+		}
+		e := b.endpoints["p0"]
+		if e.load() != (load{}) || e.ownScheduled != (load{}) || e.memory.tokens != 0 {
+			t.Errorf("owner %d: load %+v, scheduled %+v, memory %d", owner, e.load(), e.ownScheduled, e.memory.tokens)
+		}
+	}
+}
+
+// TestReportedLoad guards against counting a request twice, or not at all, when its scheduler and its
+// daemon both know it.
+func TestReportedLoad(t *testing.T) {
+	r := &Request{Class: 1, Zone: "z0", Chain: testPrompt("a", 0, 1000), FirstByte: time.Second}
+	daemon, scheduler, third := testBoard(1, 0), testBoard(1, 0), testBoard(1, 0)
+	c := mustChoose(t, scheduler, start, "p", r)
+	scheduler.Start(start, "p", r, c, Hosted)
+	daemon.Start(start, "p", r, c, Scheduled)
+	daemon.Start(start, "p", r, c, Own)
+	report := &peer.Report{Daemon: "d"}
+	daemon.FillReport(start, report)
+	for range 2 {
+		scheduler.HandleReport(start, report, true)
+		third.HandleReport(start, report, false)
+	}
+	for name, b := range map[string]*Board{"scheduler": scheduler, "third": third} {
+		if got := b.endpoints["p0"].load(); got.streams != 2 || got.unread != 2000 {
+			t.Errorf("%s sees %+v, want 2 streams and 2000 tokens", name, got)
+		}
+	}
+	third.ForgetDaemon("d")
+	if got := third.endpoints["p0"].load(); got != (load{}) {
+		t.Errorf("a silent daemon still counts: %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,271 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// script is an endpoint that handles each connection by a function.
+func script(t *testing.T, handle func(n int, c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				handle(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// answer returns an answer with a length.
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func readRequest(r *bufio.Reader) (*http.Request, error) {
+	req, err := http.ReadRequest(r)
+	if err == nil {
+		_, err = io.Copy(io.Discard, req.Body)
+	}
+	return req, err
+}
+
+func newTestClient(t *testing.T) *Client {
+	c := New(func(_ int, h http.Header) Head { return Head{Attempt: h.Get("Id")} })
+	t.Cleanup(c.Close)
+	return c
+}
+
+func request(id string) *Request {
+	return &Request{Method: http.MethodPost, Target: "/a/?b=c", Host: "h", Header: http.Header{}, Body: []byte("x"), Attempt: id}
+}
+
+func send(t *testing.T, c *Client, address, id string) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	resp, err := c.Send(ctx, address, request(id))
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(resp)
+	return string(body), err
+}
+
+// TestAnswerOfAnotherRequest guards against an extra answer, at once or late, that a caller gets as the
+// answer to its own request.
+func TestAnswerOfAnotherRequest(t *testing.T) {
+	address := script(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			req, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			id := req.Header.Get("Want")
+			if n > 0 {
+				// The extra answer comes after the next request has been written.
+				fmt.Fprint(c, answer("old", "wrong"))
+			}
+			fmt.Fprint(c, answer(id, "right "+id))
+		}
+	})
+	client := newTestClient(t)
+	for n := range 3 {
+		id := fmt.Sprint("r", n)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		r := request(id)
+		r.Header.Set("Want", id)
+		resp, err := client.Send(ctx, address, r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp)
+		cancel()
+		if err != nil || string(body) != "right "+id {
+			t.Errorf("%s got %q, %v", id, body, err)
+		}
+	}
+	if n := client.Opened(); n != 1 {
+		t.Errorf("%d connections for three requests", n)
+	}
+}
+
+// TestBrokenAnswers guards against an answer that ended early being taken for a complete one, and against
+// a request that may have run being reported as not sent.
+func TestBrokenAnswers(t *testing.T) {
+	for _, c := range []struct {
+		desc     string
+		bytes    string
+		headOK   bool
+		complete bool
+		body     string
+	}{
+		{"complete", answer("r", "body"), true, true, "body"},
+		{"without a length", "HTTP/1.1 200 OK\r\nId: r\r\n\r\nbody", true, true, "body"},
+		{"short body", "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 9\r\n\r\nbody", true, false, "body"},
+		{"chunks without an end", "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", true, false, "body"},
+		{"bad chunk", "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n", true, false, ""},
+		{"not an answer", "\x16\x03\x01\x00*\x02", false, false, ""},
+		{"nothing", "", false, false, ""},
+		{"success of nobody", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", false, false, ""},
+		{"refusal without an id", "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy", true, true, "busy"},
+	} {
+		address := script(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+			if _, err := readRequest(r); err == nil {
+				fmt.Fprint(conn, c.bytes)
+			}
+		})
+		resp, err := newTestClient(t).Send(context.Background(), address, request("r"))
+		if (err == nil) != c.headOK {
+			t.Errorf("%s: %v", c.desc, err)
+			continue
+		}
+		var failure *Error
+		if errors.As(err, &failure) && !failure.Sent {
+			t.Errorf("%s: reported as not sent", c.desc)
+		}
+		if err != nil {
+			continue
+		}
+		body, err := io.ReadAll(resp)
+		if string(body) != c.body || (err == nil) != c.complete {
+			t.Errorf("%s: %q, %v", c.desc, body, err)
+		}
+	}
+}
+
+// TestResetIsNotComplete guards against an answer without a length that was reset on the way.
+func TestResetIsNotComplete(t *testing.T) {
+	address := script(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := readRequest(r); err != nil {
+			return
+		}
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: r\r\n\r\nbody")
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	resp, err := newTestClient(t).Send(context.Background(), address, request("r"))
+	if err == nil {
+		_, err = io.ReadAll(resp)
+	}
+	if err == nil {
+		t.Error("a reset answer looks complete")
+	}
+}
+
+// TestClosedIdleConnection guards against a request written to a connection that the endpoint has closed,
+// or on which unexpected bytes arrived.
+func TestClosedIdleConnection(t *testing.T) {
+	for _, extra := range []string{"", "unexpected"} {
+		gone := make(chan struct{}, 2)
+		address := script(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, err := readRequest(r); err == nil {
+				fmt.Fprint(c, answer("r", "body"), extra)
+			}
+			_ = c.Close()
+			gone <- struct{}{}
+		})
+		client := newTestClient(t)
+		if _, err := send(t, client, address, "r"); err != nil {
+			t.Fatal(err)
+		}
+		<-gone
+		if body, err := send(t, client, address, "r"); err != nil || body != "body" {
+			t.Errorf("after a close with %q: %q, %v", extra, body, err)
+		}
+	}
+}
+
+// TestUnsent guards against requests reported as possibly run although no connection was made.
+func TestUnsent(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	var failure *Error
+	if _, err := send(t, newTestClient(t), address, "r"); !errors.As(err, &failure) || failure.Sent || !failure.Dial {
+		t.Errorf("%v", err)
+	}
+}
+
+// TestCancelClosesConnection guards against endpoints that work on for a caller that has left.
+func TestCancelClosesConnection(t *testing.T) {
+	left := make(chan error, 1)
+	reading := make(chan struct{})
+	address := script(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := readRequest(r); err == nil {
+			close(reading)
+			_, err := r.ReadByte()
+			left <- err
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-reading
+		cancel()
+	}()
+	if _, err := newTestClient(t).Send(ctx, address, request("r")); !errors.Is(err, context.Canceled) {
+		t.Errorf("%v", err)
+	}
+	select {
+	case <-left:
+	case <-time.After(10 * time.Second):
+		t.Error("the endpoint still has the connection")
+	}
+}
+
+// TestEarlyAnswer guards against a connection that is used again although the endpoint has not read the
+// whole of the request before, so that the next request would be read as its rest.
+func TestEarlyAnswer(t *testing.T) {
+	connections := make(chan int, 4)
+	answered := make(chan struct{})
+	address := script(t, func(n int, c net.Conn, r *bufio.Reader) {
+		connections <- n
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		fmt.Fprint(c, answer("r", "early"))
+		if n == 0 {
+			<-answered
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+	})
+	client := newTestClient(t)
+	long := request("r")
+	long.Body = []byte(strings.Repeat("x", 32<<20))
+	resp, err := client.Send(context.Background(), address, long)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp); err != nil || string(body) != "early" {
+		t.Errorf("%q, %v", body, err)
+	}
+	if body, err := send(t, client, address, "r"); err != nil || body != "early" {
+		t.Errorf("%q, %v", body, err)
+	}
+	close(answered)
+	if <-connections; len(connections) != 1 {
+		t.Error("the connection was used again")
+	}
+}
--- /dev/null
+++ b/settings/entry_test.go
@@ -0,0 +1,38 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/chivewind/chivewind"
+)
+
+// TestParseEntry guards against settings of an entry daemon that are accepted although it cannot start with
+// them, and against errors that do not name the line and the key.
+func TestParseEntry(t *testing.T) {
+	if _, err := chivewind.Lookup("kv.fake"); err != nil {
+		chivewind.Register(fakeModule{id: "kv.fake"})
+	}
+	datadriven.RunTest(t, "testdata/entry", func(t *testing.T, d *datadriven.TestData) string {
+		if _, err := ParseEntry("s.yaml", []byte(d.Input)); err != nil {
+			return strings.TrimRight(err.Error(), "\n") + "\n"
+		}
+		return "ok\n"
+	})
+}
+
+// TestReplaceable guards against a changed address that is said to be in use.
+func TestReplaceable(t *testing.T) {
+	a := &Entry{ID: "a", Zone: "z", Listen: EntryListen{Callers: "127.0.0.1:1"}}
+	b := *a
+	b.Log.Level = "debug"
+	if err := a.Replaceable(&b); err != nil {
+		t.Errorf("another log level: %v", err)
+	}
+	b.Listen.Callers = "127.0.0.1:2"
+	if a.Replaceable(&b) == nil {
+		t.Error("another address was accepted")
+	}
+}
