--- a/cli/check.go
+++ b/cli/check.go
@@ -31,9 +31,12 @@
 		return err
 	}
 	result := checkResult{File: file, Kind: fileKind(raw)}
-	if result.Kind == "configuration" {
+	switch result.Kind {
+	case "configuration":
 		_, err = config.Parse(file, raw)
-	} else {
+	case "entry settings":
+		_, err = settings.ParseEntry(file, raw)
+	default:
 		_, err = settings.Parse(file, raw)
 	}
 	if err != nil {
@@ -42,12 +45,21 @@
 	return a.print(result, func(t *tableWriter) { t.row(file + ": valid " + result.Kind) })
 }
 
-// fileKind tells a configuration from settings by a key that only a configuration has.
+// fileKind tells the kinds of files by keys that only one kind has.
 func fileKind(raw []byte) string {
-	var top map[string]yaml.Node
+	var top struct {
+		Presets yaml.Node `yaml:"presets"`
+		Listen  struct {
+			Directory yaml.Node `yaml:"directory"`
+			Control   yaml.Node `yaml:"control"`
+		} `yaml:"listen"`
+	}
 	if yaml.Unmarshal(raw, &top) == nil {
-		if _, ok := top["presets"]; ok {
+		switch {
+		case !top.Presets.IsZero():
 			return "configuration"
+		case !top.Listen.Directory.IsZero() || !top.Listen.Control.IsZero():
+			return "entry settings"
 		}
 	}
 	return "settings"
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/chivewind/chivewind/internal/fleet"
 	"github.com/chivewind/chivewind/internal/placement"
@@ -55,12 +56,14 @@
 // Server forwards callers' requests. It is safe for concurrent use. mu guards the board, the budget and
 // the suspects; it is not held over I/O.
 type Server struct {
-	o       Options
-	fleet   Fleet
-	client  *upstream.Client
-	stats   *stats
-	active  atomic.Int64
-	leaving atomic.Bool
+	o      Options
+	fleet  Fleet
+	client *upstream.Client
+	stats  *stats
+	// ordinary bounds the log lines of requests that were served.
+	ordinary *rate.Limiter
+	active   atomic.Int64
+	leaving  atomic.Bool
 	// refusing is set in the last part of a graceful stop.
 	refusing atomic.Bool
 
@@ -75,11 +78,16 @@
 	hosted hosting
 }
 
+// ordinaryLines is the number of log lines a second for requests that were served. Lines of other requests
+// are always written.
+const ordinaryLines = 50
+
 // New returns a Server. SetFleet must be called before the first request.
 func New(o Options) *Server {
 	s := &Server{
 		o: o, client: upstream.New(o.Wire.Recognize), stats: newStats(o.Metrics),
 		board: placement.New(), suspects: poison.New(0), asking: newAsking(), hosted: hosting{},
+		ordinary: rate.NewLimiter(ordinaryLines, ordinaryLines),
 	}
 	s.setShares(1)
 	return s
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/chivewind/chivewind/config"
 	"github.com/chivewind/chivewind/internal/entry"
+	"github.com/chivewind/chivewind/internal/entry/entrytest"
 	"github.com/chivewind/chivewind/internal/fleet"
 	"github.com/chivewind/chivewind/peer"
 	"github.com/chivewind/chivewind/platform/managed"
@@ -27,34 +28,6 @@
 	"github.com/chivewind/chivewind/traffic"
 )
 
-// fakeFleet is a fleet with a fixed view.
-type fakeFleet struct {
-	mu         sync.Mutex
-	view       *fleet.View
-	age        time.Duration
-	schedulers []*fleet.Member
-	send       func(*peer.Datagram)
-}
-
-func (f *fakeFleet) View() *fleet.View {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.view
-}
-func (f *fakeFleet) MarkDirty()              {}
-func (f *fakeFleet) Size() int               { return 1 }
-func (f *fakeFleet) StoreAge() time.Duration { return f.age }
-func (f *fakeFleet) Self() (*peer.Identity, uint64) {
-	return &peer.Identity{Daemon: "self", ReportAddress: "127.0.0.1:1"}, 1
-}
-func (f *fakeFleet) Schedulers() []*fleet.Member { return f.schedulers }
-func (f *fakeFleet) Send(d *peer.Datagram, _ *peer.Identity) {
-	if f.send != nil {
-		f.send(d)
-	}
-}
-func (f *fakeFleet) SendTo(d *peer.Datagram, _ netip.AddrPort) { f.Send(d, nil) }
-
 // endpoint is a stand-in of an endpoint. It counts the attempts that reached it.
 type endpoint struct {
 	id      string
@@ -151,7 +124,7 @@
 // system is a Server in front of endpoints.
 type system struct {
 	*entry.Server
-	fleet *fakeFleet
+	fleet *entrytest.Fleet
 	front *httptest.Server
 }
 
@@ -169,7 +142,7 @@
 			view.ByPool[pool] = append(view.ByPool[pool], info)
 		}
 	}
-	s := &system{fleet: &fakeFleet{view: view}}
+	s := &system{fleet: &entrytest.Fleet{Current: view}}
 	s.Server = entry.New(entry.Options{
 		Zone: "z", Wire: managed.Wire{}, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
 		Bounds: settings.Bounds{RetryRatio: 0.2, RetryReserve: 5, RetryWindow: config.Duration(10 * time.Second)},
@@ -303,11 +276,11 @@
 	}{
 		{"no route", "/none/", "k1", func(*system) {}, 404},
 		{"unknown key", "/once/", "k9", func(*system) {}, 401},
-		{"no route by an old table", "/none/", "k1", func(s *system) { s.fleet.age = time.Minute }, 503},
-		{"unknown key by an old table", "/once/", "k9", func(s *system) { s.fleet.age = time.Minute }, 503},
-		{"no table", "/once/", "k1", func(s *system) { s.fleet.view = &fleet.View{} }, 503},
+		{"no route by an old table", "/none/", "k1", func(s *system) { s.fleet.Age = time.Minute }, 503},
+		{"unknown key by an old table", "/once/", "k9", func(s *system) { s.fleet.Age = time.Minute }, 503},
+		{"no table", "/once/", "k1", func(s *system) { s.fleet.Current = &fleet.View{} }, 503},
 		{"stopping", "/once/", "k1", func(s *system) { s.Refuse() }, 503},
-		{"no endpoint", "/once/", "k1", func(s *system) { s.SetView(&fleet.View{Table: s.fleet.view.Table}) }, 503},
+		{"no endpoint", "/once/", "k1", func(s *system) { s.SetView(&fleet.View{Table: s.fleet.Current.Table}) }, 503},
 	} {
 		s := startSystem(t, calm, e)
 		c.change(s)
@@ -398,9 +371,9 @@
 func TestSilentScheduler(t *testing.T) {
 	e := startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) { events(w, r, 1, 2, true) })
 	s := startSystem(t, calm, e)
-	s.fleet.schedulers = []*fleet.Member{{Identity: &peer.Identity{Daemon: "gone"}}}
+	s.fleet.Members = []*fleet.Member{{Identity: &peer.Identity{Daemon: "gone"}}}
 	asked := 0
-	s.fleet.send = func(d *peer.Datagram) {
+	s.fleet.OnSend = func(d *peer.Datagram) {
 		if d.GetPlace() != nil {
 			asked++
 		}
@@ -421,12 +394,12 @@
 	e := startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) { events(w, r, 1, 2, true) })
 	s, host := startSystem(t, calm, e), startSystem(t, calm, e)
 	var replies []*peer.PlaceReply
-	host.fleet.send = func(d *peer.Datagram) {
+	host.fleet.OnSend = func(d *peer.Datagram) {
 		replies = append(replies, d.GetPlaced())
 		s.HandleDatagram(d, netip.AddrPort{})
 	}
-	s.fleet.schedulers = []*fleet.Member{{Identity: &peer.Identity{Daemon: "host"}, Incarnation: 1}}
-	s.fleet.send = func(d *peer.Datagram) {
+	s.fleet.Members = []*fleet.Member{{Identity: &peer.Identity{Daemon: "host"}, Incarnation: 1}}
+	s.fleet.OnSend = func(d *peer.Datagram) {
 		host.HandleDatagram(d, netip.AddrPort{})
 		if d.GetPlace() != nil {
 			host.HandleDatagram(d, netip.AddrPort{})
--- /dev/null
+++ b/internal/entry/entrytest/entrytest.go
@@ -0,0 +1,61 @@
+// Package entrytest has a fake of the fleet for tests of the request path.
+package entrytest
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/chivewind/chivewind/internal/entry"
+	"github.com/chivewind/chivewind/internal/fleet"
+	"github.com/chivewind/chivewind/peer"
+)
+
+// Fleet is a fleet with a fixed view. The exported fields are set before it is used; mu guards the view.
+type Fleet struct {
+	mu sync.Mutex
+	// Current is the view.
+	Current *fleet.View
+	// Age is the time since the store last answered.
+	Age time.Duration
+	// Members are the schedulers.
+	Members []*fleet.Member
+	// OnSend receives datagrams.
+	OnSend func(*peer.Datagram)
+}
+
+var _ entry.Fleet = (*Fleet)(nil)
+
+// View implements entry.Fleet.
+func (f *Fleet) View() *fleet.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Current
+}
+
+// MarkDirty implements entry.Fleet.
+func (f *Fleet) MarkDirty() {}
+
+// Size implements entry.Fleet.
+func (f *Fleet) Size() int { return 1 }
+
+// StoreAge implements entry.Fleet.
+func (f *Fleet) StoreAge() time.Duration { return f.Age }
+
+// Self implements entry.Fleet.
+func (f *Fleet) Self() (*peer.Identity, uint64) {
+	return &peer.Identity{Daemon: "self", ReportAddress: "127.0.0.1:1"}, 1
+}
+
+// Schedulers implements entry.Fleet.
+func (f *Fleet) Schedulers() []*fleet.Member { return f.Members }
+
+// Send implements entry.Fleet.
+func (f *Fleet) Send(d *peer.Datagram, _ *peer.Identity) {
+	if f.OnSend != nil {
+		f.OnSend(d)
+	}
+}
+
+// SendTo implements entry.Fleet.
+func (f *Fleet) SendTo(d *peer.Datagram, _ netip.AddrPort) { f.Send(d, nil) }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -33,7 +33,7 @@
 	reply *reply
 	// status is the status of the relayed answer.
 	status int
-	reason string
+	reason Reason
 	detail string
 	// cut says that the caller's connection must be closed, because its answer is not complete.
 	cut bool
@@ -79,6 +79,9 @@
 		req.wanted.Avoid = avoid
 		choice, attempt, refused := s.place(ctx, req)
 		if refused != nil {
+			if unsent > 0 && refused.reply.reason == NoEndpoint {
+				refused.reply.reason = NoEndpointReached
+			}
 			refused.reply = notRunUnlessSent(req, refused.reply.reason, refused.reply.retryAfter)
 			return *refused
 		}
@@ -91,7 +94,7 @@
 		s.o.Log.Info("attempt failed", "request", req.caller.Attempt, "endpoint", choice.Endpoint.ID, "sent", res.sent, "not_run", res.notRun, "cause", res.cause)
 		if !res.sent {
 			if unsent++; unsent >= maxUnsent {
-				return end{reply: notRunUnlessSent(req, "no endpoint could be reached", noEndpointRetryAfter)}
+				return end{reply: notRunUnlessSent(req, NoEndpointReached, noEndpointRetryAfter)}
 			}
 			continue
 		}
@@ -102,7 +105,7 @@
 }
 
 // notRunUnlessSent is the answer for a request that cannot be sent any further.
-func notRunUnlessSent(req *request, reason string, retryAfter time.Duration) *reply {
+func notRunUnlessSent(req *request, reason Reason, retryAfter time.Duration) *reply {
 	if req.sends > 0 {
 		return &reply{status: http.StatusBadGateway, reason: reason}
 	}
@@ -118,7 +121,7 @@
 	crashes := s.suspects.Crashes(time.Now(), f)
 	s.mu.Unlock()
 	if crashes >= poison.Limit {
-		return end{reply: notRunUnlessSent(req, "the request crashed endpoints", suspectRetryAfter)}, true
+		return end{reply: notRunUnlessSent(req, CrashedEndpoints, suspectRetryAfter)}, true
 	}
 	return end{}, false
 }
@@ -126,10 +129,10 @@
 // expired is the end of a request whose time is up or whose caller has left.
 func (s *Server) expired(ctx context.Context, req *request) end {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return end{cut: true, reason: "the caller left"}
+		return end{cut: true, reason: CallerLeft}
 	}
 	if req.sends == 0 {
-		return end{reply: notRun("the time was up before an endpoint was free", refusedRetryAfter)}
+		return end{reply: notRun(NoTimeLeft, refusedRetryAfter)}
 	}
 	return end{reply: &reply{status: http.StatusGatewayTimeout, reason: req.limit}}
 }
@@ -211,9 +214,9 @@
 	if ctx.Err() != nil {
 		return s.expired(ctx, req), true
 	}
-	final := end{reply: &reply{status: http.StatusBadGateway, reason: "the endpoint failed", detail: res.cause}}
+	final := end{reply: &reply{status: http.StatusBadGateway, reason: EndpointFailed, detail: res.cause}}
 	if res.notRun {
-		final = end{reply: notRun("the endpoint refused", refusedRetryAfter)}
+		final = end{reply: notRun(EndpointRefused, refusedRetryAfter)}
 		final.reply.detail = res.cause
 	}
 	repeatable := res.notRun || req.route.Idempotence != traffic.AtMostOnce
@@ -243,8 +246,12 @@
 	if req.firstEvent > 0 {
 		s.stats.observe("chivewind_entry_first_event_microseconds", class, req.firstEvent)
 	}
+	if reason == Served && !s.ordinary.Allow() {
+		s.stats.count("chivewind_entry_log_lines_left_out_total")
+		return
+	}
 	s.o.Log.Info("request ended", "request", req.caller.Attempt, "class", class, "tier", req.tier, "workspace", req.workspace.Name,
-		"version", req.version, "status", status, "reason", reason, "detail", detail, "cut", e.cut, "endpoint", req.endpoint, "sends", req.sends,
+		"version", req.version, "status", status, "reason", string(reason), "detail", detail, "cut", e.cut, "endpoint", req.endpoint, "placed_by", req.placedBy, "sends", req.sends,
 		"read", req.read, "predicted_ms", req.predicted.Milliseconds(), "first_ms", req.firstEvent.Milliseconds(),
 		"gap_ms", req.longestGap.Milliseconds(), "events", req.events, "total_ms", total.Milliseconds(), "left", r.Context().Err() != nil)
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -83,12 +83,12 @@
 		_, err = io.Copy(a.w, resp)
 		if err != nil {
 			resp.Close()
-			return result{outcome: placement.Failed, end: &end{status: resp.Status, reason: "the answer broke off", detail: err.Error(), cut: true}}
+			return result{outcome: placement.Failed, end: &end{status: resp.Status, reason: AnswerBroke, detail: err.Error(), cut: true}}
 		}
 	}
-	outcome, reason := placement.Served, "served"
+	outcome, reason := placement.Served, Served
 	if !success {
-		outcome, reason = placement.Failed, "the endpoint's error"
+		outcome, reason = placement.Failed, EndpointError
 	}
 	return result{outcome: outcome, end: &end{status: resp.Status, reason: reason}}
 }
@@ -126,7 +126,7 @@
 			a.s.event(t)
 			if werr := a.forwardEvents(resp, pending[:ready]); werr != nil {
 				resp.Close()
-				return result{outcome: placement.Abandoned, end: &end{status: a.status, reason: "the caller left", cut: true}}
+				return result{outcome: placement.Abandoned, end: &end{status: a.status, reason: CallerLeft, cut: true}}
 			}
 			pending = append(pending[:0], pending[ready:]...)
 		}
@@ -135,7 +135,7 @@
 			if !a.started {
 				a.head(resp)
 			}
-			return result{outcome: placement.Served, end: &end{status: resp.Status, reason: "served"}}
+			return result{outcome: placement.Served, end: &end{status: resp.Status, reason: Served}}
 		case err != nil:
 			return a.broken(ctx, err)
 		case len(pending) > maxEvent:
@@ -201,7 +201,7 @@
 		res.outcome = placement.Unreachable
 	}
 	if a.started && a.req.route.Idempotence != traffic.Resumable {
-		res.end = &end{status: a.status, reason: "the answer broke off", detail: res.cause, cut: true}
+		res.end = &end{status: a.status, reason: AnswerBroke, detail: res.cause, cut: true}
 	}
 	return res
 }
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -17,14 +17,14 @@
 type reply struct {
 	status int
 	// reason is one of a fixed set, for callers, metrics and logs; detail is for logs only.
-	reason string
+	reason Reason
 	detail string
 	// retryAfter is when the caller may come back; zero for no statement.
 	retryAfter time.Duration
 }
 
 // notRun states that the request has not run and never will.
-func notRun(reason string, retryAfter time.Duration) *reply {
+func notRun(reason Reason, retryAfter time.Duration) *reply {
 	return &reply{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}
 }
 
@@ -44,5 +44,5 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(a.status)
 	// A caller that has left needs no answer.
-	_, _ = w.Write([]byte(a.reason + "\n"))
+	_, _ = w.Write([]byte(string(a.reason) + "\n"))
 }
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -85,8 +85,10 @@
 	req.wanted.Remaining = time.Until(req.deadline)
 	choice, refusal := s.board.Choose(now, req.pool.Name, &req.wanted)
 	if refusal != nil {
-		return choice, nil, &end{reply: notRun(refusal.Reason.String(), refusal.RetryAfter)}
+		return choice, nil, &end{reply: notRun(refusalReason(refusal.Reason), refusal.RetryAfter)}
 	}
+	self, _ := s.fleet.Self()
+	req.placedBy = self.Daemon
 	ticket := s.board.Start(now, req.pool.Name, &req.wanted, choice, placement.Own)
 	s.fleet.MarkDirty()
 	return choice, &placed{local: ticket}, nil
@@ -150,7 +152,7 @@
 	delete(s.asking.suspended, host.Identity.Daemon)
 	if reply.Endpoint == 0 {
 		wait := time.Duration(reply.RetryAfterMs) * time.Millisecond
-		return choice, nil, &end{reply: notRun(placement.Reason(reply.Refusal).String(), wait)}, true
+		return choice, nil, &end{reply: notRun(refusalReason(placement.Reason(reply.Refusal)), wait)}, true
 	}
 	choice, known := s.board.Resolve(placement.Choice{
 		Hash: reply.Endpoint, FetchFrom: reply.FetchFrom, Read: int(reply.ReadTokens), Wait: time.Duration(reply.WaitUs) * time.Microsecond,
@@ -161,6 +163,7 @@
 		s.tell(attempt, true, placement.Abandoned)
 		return choice, nil, nil, false
 	}
+	req.placedBy = host.Identity.Daemon
 	owner := placement.Own
 	if s.asking.scheduler == reply.Scheduler {
 		owner = placement.Scheduled
@@ -353,3 +356,14 @@
 		delete(s.hosted, key)
 	}
 }
+
+// refusalReason translates the reason of a refusal.
+func refusalReason(r placement.Reason) Reason {
+	switch r {
+	case placement.Overload:
+		return Overload
+	case placement.Hopeless:
+		return Hopeless
+	}
+	return NoEndpoint
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -34,13 +34,15 @@
 	arrival  time.Time
 	deadline time.Time
 	// limit says whose time ends at the deadline.
-	limit string
+	limit Reason
 	// wanted describes the request for placement.
 	wanted placement.Request
 
 	// sends counts endpoints that may have received the request.
-	sends      int
-	endpoint   string
+	sends    int
+	endpoint string
+	// placedBy is the daemon that chose the endpoint.
+	placedBy   string
 	firstEvent time.Duration
 	longestGap time.Duration
 	events     int
@@ -48,12 +50,6 @@
 	predicted  time.Duration
 }
 
-// The limits that end a request.
-const (
-	limitRoute  = "route timeout"
-	limitCaller = "caller's deadline"
-)
-
 // defaultPatience bounds a request whose route and caller state no limit.
 const defaultPatience = 60 * time.Second
 
@@ -83,16 +79,16 @@
 	view := s.fleet.View()
 	switch {
 	case view.Table == nil:
-		return nil, notRun("no routing table yet", startRetryAfter)
+		return nil, notRun(NoTable, startRetryAfter)
 	case s.refusing.Load():
-		return nil, notRun("the daemon is stopping", stopRetryAfter)
+		return nil, notRun(Stopping, stopRetryAfter)
 	case caller.Attempt == "":
-		return nil, &reply{status: http.StatusBadRequest, reason: "the attempt has no id"}
+		return nil, &reply{status: http.StatusBadRequest, reason: NoAttemptID}
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := view.Table.Lookup(hostOnly(r.Host), path)
 	if route == nil {
-		return nil, s.unknown(http.StatusNotFound, "no route")
+		return nil, s.unknown(http.StatusNotFound, NoRoute, NoRouteMaybeStale)
 	}
 	req := &request{
 		caller: caller, route: route, tier: route.Tier, urgency: urgency(traffic.Workspace{}, route), version: view.Table.Version, host: r.Host,
@@ -108,7 +104,7 @@
 			}
 			req.urgency = urgency(workspace, route)
 		case !route.Public:
-			return nil, s.unknown(http.StatusUnauthorized, "unknown key")
+			return nil, s.unknown(http.StatusUnauthorized, UnknownKey, UnknownKeyMaybeOld)
 		}
 	}
 	req.pool = view.Table.Pools[pickPool(route)]
@@ -142,9 +138,9 @@
 
 // unknown refuses a request that the routing table does not allow. While the table may be out of date, the
 // caller is asked to come back instead.
-func (s *Server) unknown(status int, reason string) *reply {
+func (s *Server) unknown(status int, reason, stale Reason) *reply {
 	if s.fleet.StoreAge() > staleAfter {
-		return notRun(reason+" in a routing table that may be out of date", startRetryAfter)
+		return notRun(stale, startRetryAfter)
 	}
 	return &reply{status: status, reason: reason}
 }
@@ -176,12 +172,12 @@
 
 // setDeadline bounds the request by the route's timeout and the caller's patience.
 func (r *request) setDeadline() {
-	patience, limit := defaultPatience, limitRoute
+	patience, limit := defaultPatience, RouteTimeout
 	if r.route.Timeout > 0 {
 		patience = r.route.Timeout
 	}
 	if r.caller.Patience > 0 && r.caller.Patience < patience {
-		patience, limit = r.caller.Patience, limitCaller
+		patience, limit = r.caller.Patience, CallerDeadline
 	}
 	r.deadline, r.limit = r.arrival.Add(patience), limit
 }
@@ -198,7 +194,7 @@
 	if req.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit)); err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
-			return &reply{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+			return &reply{status: http.StatusRequestEntityTooLarge, reason: BodyTooLarge}
 		}
 		// The caller broke off its request, so that nobody reads an answer.
 		panic(http.ErrAbortHandler)
--- a/internal/entry/stats.go
+++ b/internal/entry/stats.go
@@ -58,6 +58,6 @@
 }
 
 // ended counts the end of a request.
-func (s *stats) ended(class string, status int, reason string) {
-	s.count("chivewind_entry_requests_total", "class", class, "status", strconv.Itoa(status), "reason", reason)
+func (s *stats) ended(class string, status int, reason Reason) {
+	s.count("chivewind_entry_requests_total", "class", class, "status", strconv.Itoa(status), "reason", string(reason))
 }
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -19,19 +19,6 @@
 	Hopeless
 )
 
-// String returns the reason for logs and metrics.
-func (r Reason) String() string {
-	switch r {
-	case NoEndpoint:
-		return "no endpoint"
-	case Overload:
-		return "overload"
-	case Hopeless:
-		return "too late for the deadline"
-	}
-	return "none"
-}
-
 // Refusal is the decision not to send a request.
 type Refusal struct {
 	Reason     Reason
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -39,7 +39,7 @@
 	t.Helper()
 	c, refusal := b.Choose(now, pool, r)
 	if refusal != nil {
-		t.Fatalf("refused: %s", refusal.Reason)
+		t.Fatalf("refused for reason %d", refusal.Reason)
 	}
 	return c
 }
