Send load reports only to the schedulers in large fleets

Cause: 66 daemons sent their load to all others (up to 100 datagrams a second each), although the scheduler hears of each request and the others use the load only in its place.

Change: above eight others, the load goes to the scheduler and the two that would follow it, every 0.4 s; all others get short reports. Daemons prefer different ones among equal plain services.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -86,7 +87,7 @@
 func New(o Options) *Server {
 	s := &Server{
 		o: o, client: upstream.New(o.Wire.Recognize), stats: newStats(o.Metrics),
-		board: placement.New(), suspects: poison.New(0), asking: newAsking(), hosted: hosting{},
+		board: placement.New(rand.Uint64()), suspects: poison.New(0), asking: newAsking(), hosted: hosting{},
 		ordinary: rate.NewLimiter(ordinaryLines, ordinaryLines),
 	}
 	s.setShares(1)
@@ -116,10 +117,10 @@
 }
 
 // FillReport implements fleet.Reporter.
-func (s *Server) FillReport(r *peer.Report) {
+func (s *Server) FillReport(r *peer.Report, full bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.board.FillReport(time.Now(), r)
+	s.board.FillReport(time.Now(), r, full)
 	r.Scheduler = s.asking.scheduler
 	r.Crashes = s.crashes
 	if len(s.crashes) > maxCrashReports {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -412,7 +412,7 @@
 		t.Errorf("replies %v", replies)
 	}
 	report := &peer.Report{}
-	host.FillReport(report)
+	host.FillReport(report, true)
 	if len(report.Loads) != 0 {
 		t.Errorf("the scheduler reports %v as its own", report.Loads)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,8 +20,8 @@
 
 // Reporter fills in and reads the part of a report that belongs to the request path.
 type Reporter interface {
-	// FillReport adds the daemon's own load.
-	FillReport(*peer.Report)
+	// FillReport adds the daemon's own load; that of model engines only when full is set.
+	FillReport(r *peer.Report, full bool)
 	// HandleReport takes the load of another daemon.
 	HandleReport(*peer.Report)
 	// HandleDatagram takes a message of the scheduling protocol.
@@ -126,7 +126,7 @@
 	f.mu.Unlock()
 	if changed {
 		f.o.Log.Info("daemon state changed", "state", s.String())
-		f.sendAll(f.nextReport(true))
+		f.announceState()
 	}
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -23,7 +23,7 @@
 // silentReporter is a request path without requests.
 type silentReporter struct{}
 
-func (silentReporter) FillReport(*peer.Report)                       {}
+func (silentReporter) FillReport(*peer.Report, bool)                 {}
 func (silentReporter) HandleReport(*peer.Report)                     {}
 func (silentReporter) ForgetDaemon(string)                           {}
 func (silentReporter) HandleDatagram(*peer.Datagram, netip.AddrPort) {}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -98,7 +98,7 @@
 	if first {
 		f.o.Log.Warn("the store gave no answer", "error", err)
 		// The others learn at once that this daemon cannot watch for them.
-		f.sendAll(f.nextReport(false))
+		f.sendReports(true, false)
 	}
 }
 
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -16,8 +16,14 @@
 const (
 	// minReportInterval is the shortest time between two reports of a small fleet.
 	minReportInterval = 80 * time.Millisecond
-	// reportBudget is the number of datagrams a second that a daemon sends at most when its load changes.
-	reportBudget = 100
+	// largeReportInterval is the same for a fleet above smallFleet: its scheduler hears of each request, and
+	// the reports only keep the daemons informed that would take its place.
+	largeReportInterval = 400 * time.Millisecond
+	// smallFleet is the number of other daemons up to which all of them get the load.
+	smallFleet = 8
+	// informedSchedulers is the number of daemons that get the load in a larger fleet: the scheduler and those
+	// that would take its place.
+	informedSchedulers = 3
 	// identityEvery is the number of reports of which one carries the sender's addresses.
 	identityEvery = 8
 	// maxDatagram bounds a report, in bytes.
@@ -32,6 +38,7 @@
 func (f *Fleet) report(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var heartbeatAt time.Time
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -39,11 +46,23 @@
 		case <-f.dirty:
 		case <-timer.C:
 		}
-		size := f.sendAll(f.nextReport(n%identityEvery == 0))
-		f.dropSilent()
-		sleep(ctx, max(minReportInterval, time.Duration(size)*time.Second/reportBudget))
-		timer.Reset(f.heartbeat(size + 1))
+		due := !time.Now().Before(heartbeatAt)
+		size := f.sendReports(due, n%identityEvery == 0)
+		if due {
+			heartbeatAt = time.Now().Add(f.heartbeat(size + 1))
+			f.dropSilent()
+		}
+		sleep(ctx, reportInterval(size))
+		timer.Reset(max(time.Until(heartbeatAt), time.Millisecond))
+	}
+}
+
+// reportInterval returns the shortest time between two reports of the load.
+func reportInterval(size int) time.Duration {
+	if size > smallFleet {
+		return largeReportInterval
 	}
+	return minReportInterval
 }
 
 // heartbeat returns the time until the next report without a change. Others rely on a watcher's reports.
@@ -81,7 +100,7 @@
 	watching := f.members.MustWatch(time.Now(), watchFreshness)
 	f.mu.Unlock()
 	if watching {
-		f.sendAll(f.nextReport(false))
+		f.sendReports(true, false)
 	}
 }
 
@@ -103,8 +122,8 @@
 	return entries, since
 }
 
-// nextReport returns the daemon's present state.
-func (f *Fleet) nextReport(withIdentity bool) *peer.Report {
+// nextReport returns the daemon's present state, with the load of engines when full is set.
+func (f *Fleet) nextReport(full, withIdentity bool) *peer.Report {
 	const unknownAge = 1 << 30
 	now := time.Now()
 	f.mu.Lock()
@@ -121,19 +140,49 @@
 	if withIdentity {
 		r.Identity = f.o.Self
 	}
-	f.o.Reporter.FillReport(r)
+	f.o.Reporter.FillReport(r, full)
 	return r
 }
 
-// sendAll sends a report to all known daemons, also to silent ones, and returns their number.
-func (f *Fleet) sendAll(r *peer.Report) int {
+// announceState tells all known daemons, also silent ones, of the daemon's state at once.
+func (f *Fleet) announceState() { f.sendReports(true, true) }
+
+// sendReports sends the load to the daemons that need it and, when everybody is set, the rest of the report
+// to the others. It returns the number of other daemons.
+func (f *Fleet) sendReports(everybody, withIdentity bool) int {
 	f.mu.Lock()
 	all := f.members.All()
+	informed := all
+	if len(all) > smallFleet {
+		informed = f.informed()
+	}
 	f.mu.Unlock()
-	f.send(&peer.Datagram{Message: &peer.Datagram_Report{Report: r}}, all...)
+	if len(informed) > 0 {
+		f.send(&peer.Datagram{Message: &peer.Datagram_Report{Report: f.nextReport(true, withIdentity)}}, informed...)
+	}
+	rest := slices.DeleteFunc(slices.Clone(all), func(id *peer.Identity) bool {
+		return slices.ContainsFunc(informed, func(other *peer.Identity) bool { return other.Daemon == id.Daemon })
+	})
+	if everybody && len(rest) > 0 {
+		f.send(&peer.Datagram{Message: &peer.Datagram_Report{Report: f.nextReport(false, withIdentity)}}, rest...)
+	}
 	return len(all)
 }
 
+// informed returns the scheduler and those that would take its place, without this daemon. mu is held.
+func (f *Fleet) informed() []*peer.Identity {
+	var ids []*peer.Identity
+	for _, m := range f.members.Schedulers(time.Now(), f.self == peer.DaemonState_DAEMON_STATE_READY) {
+		if len(ids) == informedSchedulers {
+			break
+		}
+		if m.Identity.Daemon != f.o.Self.Daemon {
+			ids = append(ids, m.Identity)
+		}
+	}
+	return ids
+}
+
 // Send sends a message of the scheduling protocol. It may be lost.
 func (f *Fleet) Send(d *peer.Datagram, to *peer.Identity) { f.send(d, to) }
 
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -15,10 +15,10 @@
 	HeartbeatInterval = 300 * time.Millisecond
 	// heartbeatBudget is the number of datagrams a second that a daemon sends as heartbeats at most; larger
 	// fleets have longer intervals.
-	heartbeatBudget = 80
+	heartbeatBudget = 60
 	// missedHeartbeats is the number of intervals of silence after which a daemon counts as dead. Links may
 	// lose several packets in a hundred, so that a few in a row may be missing.
-	missedHeartbeats = 5
+	missedHeartbeats = 4
 )
 
 // heartbeatInterval returns the interval for a fleet of n daemons.
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -99,10 +99,12 @@
 	b.demand.arrived(now, r.Class, max(r.Chain.Total-r.Chain.Shared, 0), r.Output)
 }
 
-// FillReport adds this daemon's load to a report.
-func (b *Board) FillReport(now time.Time, r *peer.Report) {
+// FillReport adds this daemon's load to a report; without full only that of plain services, which every
+// daemon places for itself.
+func (b *Board) FillReport(now time.Time, r *peer.Report, full bool) {
 	for _, e := range b.endpoints {
-		if e.own == (load{}) {
+		p := b.pools[e.Pool]
+		if e.own == (load{}) || (!full && p != nil && p.Engine != nil) {
 			continue
 		}
 		r.Loads = append(r.Loads, &peer.EndpointLoad{
@@ -112,6 +114,9 @@
 			ScheduledStrictStreams: uint32(max(e.ownScheduled.strict, 0)),
 		})
 	}
+	if !full {
+		return
+	}
 	for _, n := range b.cache.takeNews() {
 		r.Cached = append(r.Cached, &peer.CachedPart{Part: n.key, Endpoint: n.engine, Tokens: uint32(n.tokens)})
 	}
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -132,7 +132,7 @@
 		all[e.ID] = e
 		models[e.ID] = &engine{cached: map[uint64]bool{}, ready: start}
 	}
-	b := New()
+	b := New(1)
 	b.SetTable(table)
 	b.SetEndpoints(start, byPool, all)
 	random := rand.New(rand.NewPCG(1, 2))
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,11 +8,13 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/chivewind/chivewind/internal/rendezvous"
 	"github.com/chivewind/chivewind/traffic"
 )
 
@@ -74,6 +76,8 @@
 	// queueWeight is the loss for waiting for a slot of a plain service. It exceeds zoneWeight, so that no
 	// request waits while another endpoint has a free slot.
 	queueWeight = 0.1
+	// tieWeight spreads the daemons over plain services that are equal otherwise.
+	tieWeight = 0.001
 	// failureWeight is the loss for a failure that is certain.
 	failureWeight = 1.5
 	// fullWeight is the loss at an engine that is full.
@@ -84,6 +88,7 @@
 
 // Board holds the load of all endpoints.
 type Board struct {
+	salt      rendezvous.Hash
 	pools     map[string]*pool
 	endpoints map[string]*endpoint
 	byHash    map[uint32]*endpoint
@@ -97,10 +102,11 @@
 	epoch int
 }
 
-// New returns a board without endpoints.
-func New() *Board {
+// New returns a board without endpoints. Daemons with different salts prefer different ones among equal
+// endpoints.
+func New(salt uint64) *Board {
 	return &Board{
-		pools: map[string]*pool{}, endpoints: map[string]*endpoint{}, byHash: map[uint32]*endpoint{},
+		salt: rendezvous.Hash(salt), pools: map[string]*pool{}, endpoints: map[string]*endpoint{}, byHash: map[uint32]*endpoint{},
 		cache: newCacheMap(), demand: newDemand(), strict: map[uint32]bool{}, targets: map[uint32]target{},
 	}
 }
@@ -276,6 +282,7 @@
 		if e.load().streams >= max(e.Slots, 1) {
 			cost += queueWeight
 		}
+		cost += tieWeight * float64(rendezvous.Weight(b.salt, rendezvous.Hash(e.hash))) / math.MaxUint64
 		choice.Wait = e.plainWait()
 		choice.Cost = cost + lateness(choice.Wait, r.FirstByte)
 		return choice
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -13,7 +13,7 @@
 
 // testBoard returns a board with a pool of engines "p" and a plain pool "q", alternating between two zones.
 func testBoard(engines, plain int) *Board {
-	b := New()
+	b := New(1)
 	b.SetTable(&traffic.Table{Pools: map[string]traffic.Pool{
 		"p": {Name: "p", Engine: &traffic.Engine{Slots: 64, CacheTokens: 100000, TokenBytes: 18432, LinkBytesPerMs: 11e6}}, "q": {Name: "q"},
 	}})
@@ -66,7 +66,7 @@
 		t.Errorf("the parts are read again: %+v", c)
 	}
 	report := &peer.Report{Daemon: "d"}
-	b.FillReport(start, report)
+	b.FillReport(start, report, true)
 	other.HandleReport(start, report, false)
 	if c := mustChoose(t, other, start, "p", r); c.FetchFrom != first.Hash {
 		t.Error("another daemon does not know who has the parts after a report")
@@ -194,7 +194,7 @@
 	daemon.Start(start, "p", r, c, Scheduled)
 	daemon.Start(start, "p", r, c, Own)
 	report := &peer.Report{Daemon: "d"}
-	daemon.FillReport(start, report)
+	daemon.FillReport(start, report, true)
 	for range 2 {
 		scheduler.HandleReport(start, report, true)
 		third.HandleReport(start, report, false)
