Tighten admission only under clear overload and name full engines

Change: the bound tightens from 20 to 60 in 100 refused; a refusal because every engine is full has a reason of its own.

--- a/internal/entry/reasons.go
+++ b/internal/entry/reasons.go
@@ -16,6 +16,7 @@
 	NoTimeLeft          Reason = "the time was up before an endpoint was free"
 	NoEndpoint          Reason = "no endpoint"
 	Overload            Reason = "overload"
+	EnginesFull         Reason = "the engines are full"
 	Hopeless            Reason = "too late for the deadline"
 	NoEndpointReached   Reason = "no endpoint could be reached"
 	CrashedEndpoints    Reason = "the request crashed endpoints"
@@ -43,6 +44,7 @@
 	NoTimeLeft:         "The deadline was so close that no endpoint could have answered; nothing was sent.",
 	NoEndpoint:         "No endpoint of the pool takes requests; look for lines about endpoints that left or drain.",
 	Overload:           "The backlog exceeded what the class's target allows, and this class is the least urgent one; nothing was sent.",
+	EnginesFull:        "Every engine had too many streams or too little memory for one more request of the least urgent class; nothing was sent.",
 	Hopeless:           "The expected wait left no time for the answer before the deadline; nothing was sent.",
 	NoEndpointReached:  "No connection could be made to any endpoint that was tried; nothing was sent.",
 	CrashedEndpoints:   "The same request was running on several endpoints when they crashed, and is kept away from others.",
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -362,6 +362,8 @@
 	switch r {
 	case placement.Overload:
 		return Overload
+	case placement.Full:
+		return EnginesFull
 	case placement.Hopeless:
 		return Hopeless
 	}
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -15,6 +15,8 @@
 	// Overload: the request would begin so late, or delay more urgent ones so long, that serving it wastes
 	// capacity.
 	Overload
+	// Full: every engine has too many streams or too little memory for one more request.
+	Full
 	// Hopeless: the request cannot be answered before its deadline.
 	Hopeless
 )
@@ -35,8 +37,8 @@
 	overloadShare = 0.4
 	// calmUntil is the share of refused requests up to which calmShare holds, and overloadedFrom the one from
 	// which on overloadShare does.
-	calmUntil      = 0.12
-	overloadedFrom = 0.45
+	calmUntil      = 0.2
+	overloadedFrom = 0.6
 	// pressureMemory is the time in which the weight of past refusals halves.
 	pressureMemory = 1500 * time.Millisecond
 	// crowdedShare is the part of an engine's slots beyond which streams grow slow faster than they end: each
@@ -73,7 +75,10 @@
 	bound := time.Duration(p.pressure.share(now) * float64(r.FirstByte))
 	refused := wait > bound || best.Full
 	p.pressure.count(now, refused)
-	if refused {
+	switch {
+	case best.Full:
+		return &Refusal{Reason: Full, RetryAfter: retryAfter(wait - bound)}
+	case refused:
 		return &Refusal{Reason: Overload, RetryAfter: retryAfter(wait - bound)}
 	}
 	return nil
