--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -186,7 +186,7 @@
 const defaultMaxBody = 4 << 20
 
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, req *request) *reply {
-	limit := s.fleet.View().Table.Limits.MaxBody
+	limit := s.fleet.View().Table.MaxBody
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
--- /dev/null
+++ b/internal/fleet/pull.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/chivewind/chivewind/peer"
+)
+
+const (
+	// pullDelay is how long a newer revision of a peer may be on its way from the store before it is asked for.
+	pullDelay = 150 * time.Millisecond
+	// pullTimeout bounds a call to a peer.
+	pullTimeout = 700 * time.Millisecond
+)
+
+// considerPull asks a peer for its state unless the store brings it first. mu is held.
+func (f *Fleet) considerPull(now time.Time, from *peer.Identity) {
+	if f.pulling || now.Before(f.pullAt) {
+		return
+	}
+	f.pulling = true
+	known := f.state.Revision()
+	time.AfterFunc(pullDelay, func() {
+		f.mu.Lock()
+		behind := f.state.Revision() == known
+		f.mu.Unlock()
+		if behind {
+			f.pull(context.Background(), from)
+		}
+		f.mu.Lock()
+		f.pulling, f.pullAt = false, time.Now().Add(pullDelay)
+		f.mu.Unlock()
+	})
+}
+
+// pull takes the keys that are newer at a peer.
+// It returns false when the peer gave no answer.
+func (f *Fleet) pull(ctx context.Context, from *peer.Identity) bool {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	client, err := f.o.Peers.Client(ctx, &peer.Member{Id: from.Daemon, PeerAddress: from.ControlAddress})
+	if err != nil {
+		f.o.Log.Debug("a peer cannot be called", "peer", from.ControlAddress, "error", err)
+		return false
+	}
+	f.mu.Lock()
+	since := f.state.Revision()
+	f.mu.Unlock()
+	reply, err := client.Sync(ctx, &peer.SyncRequest{
+		From: f.o.Self.Daemon, Members: []*peer.Member{memberOf(f.o.Self)}, Versions: []*peer.DocumentVersion{{Name: documentState, Version: uint64(since)}},
+	})
+	if err != nil {
+		f.count("chivewind_peer_pull_failures_total")
+		f.o.Log.Debug("a peer gave no state", "peer", from.ControlAddress, "error", err)
+		return false
+	}
+	f.count("chivewind_peer_pulls_total")
+	f.mu.Lock()
+	for _, m := range reply.Members {
+		f.members.Learn(identityOf(m))
+	}
+	f.mu.Unlock()
+	f.change(func(now time.Time, s *State) bool {
+		changed := applyDocuments(now, s, reply.Documents)
+		for _, v := range reply.Versions {
+			if v.Name == documentState {
+				s.Advance(int64(v.Version))
+			}
+		}
+		return changed
+	})
+	return true
+}
+
+// applyDocuments applies keys that another daemon sent. An empty content is a removed key.
+func applyDocuments(now time.Time, s *State, documents []*peer.Document) bool {
+	changed := false
+	for _, d := range documents {
+		value := d.Content
+		if len(value) == 0 {
+			value = nil
+		}
+		changed = s.Apply(now, d.Name, int64(d.Version), value) || changed
+	}
+	return changed
+}
+
+// identityOf and memberOf translate between the two messages that say where a daemon is reached.
+func identityOf(m *peer.Member) *peer.Identity {
+	return &peer.Identity{
+		Daemon: m.Id, Zone: m.Zone, Region: m.Region, EntryAddress: m.EntryUrl, ControlAddress: m.PeerAddress, ReportAddress: m.GossipAddress,
+	}
+}
+
+func memberOf(id *peer.Identity) *peer.Member {
+	return &peer.Member{
+		Id: id.Daemon, Zone: id.Zone, Region: id.Region, EntryUrl: id.EntryAddress, PeerAddress: id.ControlAddress, GossipAddress: id.ReportAddress,
+	}
+}
+
+// documentState names the version of the whole state in a Sync call.
+const documentState = "state"
+
+// Sync answers a peer with the keys that it does not have. An empty content is a removed key.
+func (f *Fleet) Sync(_ context.Context, r *peer.SyncRequest) (*peer.SyncReply, error) {
+	var since int64
+	for _, v := range r.Versions {
+		if v.Name == documentState {
+			since = int64(v.Version)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range r.Members {
+		f.members.Learn(identityOf(m))
+	}
+	reply := &peer.SyncReply{Members: []*peer.Member{memberOf(f.o.Self)}, Versions: []*peer.DocumentVersion{{Name: documentState, Version: uint64(f.state.Revision())}}}
+	for _, id := range f.members.All() {
+		reply.Members = append(reply.Members, memberOf(id))
+	}
+	for _, e := range f.state.Since(since) {
+		reply.Documents = append(reply.Documents, &peer.Document{Name: e.Key, Version: uint64(e.Revision), Content: e.Value})
+	}
+	return reply, nil
+}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -21,7 +21,7 @@
 	DefaultRetryWindow     = config.Duration(10 * time.Second)
 	DefaultRetryReserve    = 32
 	DefaultMemory          = config.Size(128 << 20)
-	DefaultEntryIdle       = config.Duration(75 * time.Second)
+	DefaultEntryIdle       = config.Duration(5 * time.Minute)
 )
 
 // Entry are the static settings of an entry daemon.
@@ -96,13 +96,7 @@
 // ParseEntry reads and validates settings and fills in defaults. The error is a strictyaml.Problems.
 func ParseEntry(file string, raw []byte) (*Entry, error) {
 	s := &Entry{}
-	doc, err := strictyaml.Decode(file, raw, s)
-	if err != nil {
-		return nil, err
-	}
-	s.setDefaults()
-	s.validate(doc)
-	if err := doc.Err(); err != nil {
+	if err := parse(file, raw, s); err != nil {
 		return nil, err
 	}
 	return s, nil
@@ -119,11 +113,7 @@
 	setDefault(&s.Process.Memory, DefaultMemory)
 	setDefault(&s.Process.Cores, 1)
 	setDefault(&s.Process.Share, 1)
-	setDefault(&s.Log.Level, "info")
-	if s.Log.JSON == nil {
-		json := true
-		s.Log.JSON = &json
-	}
+	setLogDefaults(&s.Log)
 }
 
 func (s *Entry) validate(doc *strictyaml.Document) {
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -39,16 +39,36 @@
 // Parse reads and validates settings and fills in defaults. The error is a strictyaml.Problems.
 func Parse(file string, raw []byte) (*Settings, error) {
 	s := &Settings{}
+	if err := parse(file, raw, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// checked is what both kinds of settings have in common.
+type checked interface {
+	setDefaults()
+	validate(*strictyaml.Document)
+}
+
+// parse decodes settings, fills in defaults and validates them.
+func parse(file string, raw []byte, s checked) error {
 	doc, err := strictyaml.Decode(file, raw, s)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	s.setDefaults()
 	s.validate(doc)
-	if err := doc.Err(); err != nil {
-		return nil, err
+	return doc.Err()
+}
+
+// setLogDefaults fills in the defaults of the log.
+func setLogDefaults(l *Log) {
+	setDefault(&l.Level, "info")
+	if l.JSON == nil {
+		json := true
+		l.JSON = &json
 	}
-	return s, nil
 }
 
 func (s *Settings) setDefaults() {
@@ -68,11 +88,7 @@
 	setDefault(&s.Limits.EntryValidity, DefaultEntryValidity)
 	setDefault(&s.Limits.InterToken, DefaultInterToken)
 	setDefault(&s.Limits.LedgerRetention, DefaultLedgerRetention)
-	setDefault(&s.Log.Level, "info")
-	if s.Log.JSON == nil {
-		json := true
-		s.Log.JSON = &json
-	}
+	setLogDefaults(&s.Log)
 }
 
 func setDefault[T comparable](field *T, value T) {
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -85,20 +85,13 @@
 	HasTier bool
 }
 
-// Limits bound what callers may send and how long they may take.
-type Limits struct {
-	MaxHeader     int
-	MaxBody       int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Table is one version of the routing configuration.
 type Table struct {
 	Version int64
 	Routes  []Route
 	Pools   map[string]Pool
-	Limits  Limits
+	// MaxBody bounds the body of a request, in bytes; 0 means that there is no limit.
+	MaxBody int64
 	// KeysRequired says that requests of routes that are not public need a key.
 	KeysRequired bool
 	// Keys maps a key to its workspace.
