Make the load and memory tests fail without their mechanisms

Change: the overload test also checks the strict class, the memory test uses larger requests. Neither bound was lowered.

--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -247,6 +247,9 @@
 	playLoad(9, []*kind{quick, middle, long}, 20*time.Second)
 	t.Logf("quick %d of %d, middle %d of %d, long %d of %d in time, %d late, %d refused",
 		quick.inTime, quick.asked, middle.inTime, middle.asked, long.inTime, long.asked, long.late, long.refused)
+	if got := quick.shareInTime(); got < 0.9 {
+		t.Errorf("%.2f of the quick questions in time beside a burst of long reads, want 0.9", got)
+	}
 	if quick.refused > 0 || middle.refused > middle.asked/12 {
 		t.Errorf("refused %d quick and %d of %d middle requests while %d long ones began", quick.refused, middle.refused, middle.asked, long.begun)
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -150,7 +150,7 @@
 func TestMemoryIsNotOvercommitted(t *testing.T) {
 	b := testBoard(1, 0)
 	for i := range 200 {
-		r := &Request{Class: 1, Zone: "z0", Chain: testPrompt(fmt.Sprint(i), 0, 1000), Output: 500, FirstByte: time.Hour}
+		r := &Request{Class: 1, Zone: "z0", Chain: testPrompt(fmt.Sprint(i), 0, 6000), Output: 500, FirstByte: time.Hour}
 		c, refusal := b.Choose(start, "p", r)
 		if refusal != nil {
 			break
