--- a/cli/cli.go
+++ b/cli/cli.go
@@ -19,7 +19,7 @@
 	"github.com/chivewind/chivewind/internal/strictyaml"
 )
 
-// Exit codes. docs/operations.md lists them.
+// Exit codes. docs/OPERATIONS.md lists them.
 const (
 	ExitOK          = 0
 	ExitError       = 1
