Add a soak of entry daemons as separate processes

Change: test/soak starts three daemons, a stand-in store and endpoints on loopback, injects seeded faults from outside and checks runs, statuses, answers, streams and recovery.

--- /dev/null
+++ b/test/soak/traffic_test.go
@@ -0,0 +1,274 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// streamEvents is the number of events of each stream.
+const streamEvents = 8
+
+// endpoint is a stand-in of a plain endpoint that counts the runs of each attempt.
+type endpoint struct {
+	s      *system
+	index  int
+	mu     sync.Mutex
+	number int
+	broken time.Time
+	server *http.Server
+}
+
+func newEndpoint(s *system, index int) *endpoint {
+	e := &endpoint{s: s, index: index}
+	e.register()
+	s.t.Cleanup(func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		_ = e.server.Close()
+	})
+	return e
+}
+
+func (e *endpoint) id() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.name()
+}
+
+func (e *endpoint) name() string { return fmt.Sprintf("e%d-%d", e.index, e.number) }
+
+// register starts the next incarnation and enters it in the store.
+func (e *endpoint) register() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		e.s.t.Error(err)
+		return
+	}
+	e.number++
+	name := e.name()
+	e.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(name, w, r) })}
+	go func(server *http.Server) { _ = server.Serve(l) }(e.server)
+	e.enter(name, l.Addr().String(), "ready")
+}
+
+func (e *endpoint) enter(name, address, state string) {
+	e.s.store.Put("servers/"+name, []byte(fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":6,"state":%q}`, address, state)))
+}
+
+// replace lets the endpoint leave and another one take its place. The old one serves on for a while.
+func (e *endpoint) replace(s *system) {
+	e.mu.Lock()
+	old, server := e.name(), e.server
+	e.mu.Unlock()
+	s.store.Delete("servers/" + old)
+	time.AfterFunc(3*time.Second, func() { _ = server.Close() })
+	e.register()
+}
+
+// fail makes the endpoint break connections for a time.
+func (e *endpoint) fail(lasting time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.broken = time.Now().Add(lasting)
+}
+
+func (e *endpoint) failing() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Now().Before(e.broken)
+}
+
+func (e *endpoint) serve(name string, w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get("Attempt-Id")
+	h := w.Header()
+	h.Set("Attempt-Id", attempt)
+	if r.Header.Get("Expect-Instance") != name {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	failing := e.failing()
+	if failing && len(attempt)%2 == 0 {
+		h.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	e.s.mu.Lock()
+	e.s.runs[attempt]++
+	e.s.mu.Unlock()
+	h.Set("Server-Stamp", name)
+	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/resume/") {
+		e.stream(w, r, attempt, failing)
+		return
+	}
+	<-time.After(10 * time.Millisecond)
+	if failing {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, "answer to "+attempt)
+}
+
+func (e *endpoint) stream(w http.ResponseWriter, r *http.Request, attempt string, failing bool) {
+	begin := 1
+	if last := r.Header.Get("Last-Event-Id"); last != "" {
+		_, _ = fmt.Sscan(last, &begin)
+		begin++
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for id := begin; id <= streamEvents; id++ {
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, attempt)
+		_ = http.NewResponseController(w).Flush()
+		if failing && id == begin+2 {
+			panic(http.ErrAbortHandler)
+		}
+		<-time.After(15 * time.Millisecond)
+	}
+}
+
+// result is what a caller saw of one attempt.
+type result struct {
+	attempt string
+	path    string
+	status  int
+	body    string
+	// whole says that the answer ended properly.
+	whole bool
+}
+
+// call sends requests one after the other until the system stops.
+func (s *system) call(caller int) {
+	defer s.callers.Done()
+	paths := []string{"/once/", "/safe/", "/stream/", "/resume/"}
+	for n := 0; ; n++ {
+		select {
+		case <-s.done:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		address := s.lookup(s.daemons[(caller+n)%len(s.daemons)])
+		if address == "" {
+			continue
+		}
+		r := s.send(address, paths[n%len(paths)])
+		s.mu.Lock()
+		s.results = append(s.results, r)
+		s.mu.Unlock()
+	}
+}
+
+// lookup asks a daemon for an entry address.
+func (s *system) lookup(d *daemon) string {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.lookup+"/chivewind/resolve?name=h&zone=z", nil)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		Addrs []string `json:"addrs"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&answer) != nil || len(answer.Addrs) == 0 {
+		return ""
+	}
+	return answer.Addrs[0]
+}
+
+// send makes one attempt with an id of its own.
+func (s *system) send(address, path string) result {
+	s.mu.Lock()
+	s.nextID++
+	r := result{attempt: fmt.Sprint("a", s.nextID), path: path}
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path+r.attempt, strings.NewReader("x"))
+	req.Host = "h"
+	req.Header.Set("Attempt-Id", r.attempt)
+	req.Header.Set("Deadline-Ms", "4000")
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return r
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	r.status, r.body, r.whole = resp.StatusCode, string(body), err == nil
+	return r
+}
+
+// awaitService waits until every daemon serves a route of the version.
+func (s *system) awaitService(t *testing.T, version int) {
+	t.Helper()
+	deadline := time.Now().Add(recoverBound)
+	for _, d := range s.daemons {
+		for {
+			r := s.send(d.entry, fmt.Sprintf("/version-%d/", version))
+			if r.status == http.StatusOK {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("%s does not serve version %d after %s: status %d", d.name, version, recoverBound, r.status)
+			}
+			<-time.After(50 * time.Millisecond)
+		}
+	}
+}
+
+// check returns the promises that were broken.
+func (s *system) check() (problems []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.results {
+		runs := s.runs[r.attempt]
+		report := func(text string) {
+			problems = append(problems, fmt.Sprintf("%s%s: %s (status %d, %d runs, body %q)", r.path, r.attempt, text, r.status, runs, r.body))
+		}
+		stream := r.path == "/stream/" || r.path == "/resume/"
+		switch {
+		case (r.path == "/once/" || r.path == "/stream/") && runs > 1:
+			report("ran more than once")
+		case r.status == http.StatusServiceUnavailable && runs > 0:
+			report("was answered as not run and ran")
+		case r.status == http.StatusNotFound || r.status == http.StatusUnauthorized:
+			report("was denied")
+		case r.status != http.StatusOK:
+		case stream && !eventsInOrder(r):
+			report("has missing, repeated or foreign events")
+		case !stream && r.whole && r.body != "answer to "+r.attempt:
+			report("got another answer")
+		}
+	}
+	return problems
+}
+
+// eventsInOrder says whether a stream's events are whole and in order, and all there if it ended properly.
+func eventsInOrder(r result) bool {
+	var want strings.Builder
+	for id := 1; id <= streamEvents; id++ {
+		fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", id, r.attempt)
+	}
+	if r.whole {
+		return r.body == want.String()
+	}
+	return strings.HasPrefix(want.String(), r.body)
+}
+
+func (s *system) summary() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	statuses := map[int]int{}
+	for _, r := range s.results {
+		statuses[r.status]++
+	}
+	return fmt.Sprintf("%d attempts, by status %v", len(s.results), statuses)
+}
