Do not say not run after an attempt that may have run

Cause: giveUp answered 503 when the last attempt was refused, also when an earlier attempt of the same repeatable or resumable request had been reset and may have run. Non-idempotent requests are not sent again after such an attempt and were not affected.

Change: the request remembers it and ends with 502.

Figures: the new row of TestSends failed first (status 503 after 2 sends, want 502) and passes; tests of the request path and of explain pass with the race detector.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -208,6 +209,9 @@
 		_ = w.(*net.TCPConn).SetLinger(0)
 		_ = w.Close()
 	}
+	// first is true until the first request of the row that needs it.
+	var first atomic.Bool
+	first.Store(true)
 	for _, c := range []struct {
 		desc   string
 		path   string
@@ -223,6 +227,13 @@
 		{"own error, at most once", "/once/1", func(_ int, w net.Conn, r *http.Request) { ok(w, r, 500, "x") }, 1, 500},
 		{"own error, repeatable", "/safe/1", func(_ int, w net.Conn, r *http.Request) { ok(w, r, 500, "x") }, 2, 500},
 		{"stream not resumable", "/stream/1", func(_ int, w net.Conn, r *http.Request) { reset(w, r) }, 1, 502},
+		{"lost answer, then refused", "/safe/1", func(_ int, w net.Conn, r *http.Request) {
+			if first.CompareAndSwap(true, false) {
+				reset(w, r)
+				return
+			}
+			notRun(w, r)
+		}, 2, 502},
 		{"success without a stamp", "/once/1", func(_ int, w net.Conn, r *http.Request) {
 			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 1\r\n\r\nx", r.Header.Get("Attempt-Id"))
 		}, 1, 502},
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -215,7 +215,8 @@
 		return s.expired(ctx, req), true
 	}
 	final := end{reply: &reply{status: http.StatusBadGateway, reason: EndpointFailed, detail: res.cause}}
-	if res.notRun {
+	req.mayHaveRun = req.mayHaveRun || !res.notRun
+	if !req.mayHaveRun {
 		final = end{reply: notRun(EndpointRefused, refusedRetryAfter)}
 		final.reply.detail = res.cause
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -39,8 +39,10 @@
 	wanted placement.Request
 
 	// sends counts endpoints that may have received the request.
-	sends    int
-	endpoint string
+	sends int
+	// mayHaveRun says that an endpoint got the request and did not state that it has not run.
+	mayHaveRun bool
+	endpoint   string
 	// placedBy is the daemon that chose the endpoint.
 	placedBy   string
 	firstEvent time.Duration
