Keep a daemon's capacity when daemons pass identities on

Each pull, about every five seconds, reset the capacity of all known daemons to 0 until their next report with an identity.

--- a/internal/fleet/pull.go
+++ b/internal/fleet/pull.go
@@ -90,12 +90,14 @@
 func identityOf(m *peer.Member) *peer.Identity {
 	return &peer.Identity{
 		Daemon: m.Id, Zone: m.Zone, Region: m.Region, EntryAddress: m.EntryUrl, ControlAddress: m.PeerAddress, ReportAddress: m.GossipAddress,
+		Capacity: m.Capacity,
 	}
 }
 
 func memberOf(id *peer.Identity) *peer.Member {
 	return &peer.Member{
 		Id: id.Daemon, Zone: id.Zone, Region: id.Region, EntryUrl: id.EntryAddress, PeerAddress: id.ControlAddress, GossipAddress: id.ReportAddress,
+		Capacity: id.Capacity,
 	}
 }
 
