Let a request wait while an engine reads its shared parts for another one

Cause: an engine compares a prompt with its cache when it admits it. A request that is sent to an engine which is still reading the same shared parts for another request makes it read them twice.

Change: such a request waits for up to 0.6 of its latency target and is placed again every 50 ms, by the scheduler too; its load counts meanwhile. Where another engine has the parts, they are copied instead. A part that an attempt promised and never read is forgotten with its last reader (before: only when unreachable).

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -253,7 +253,7 @@
 	}
 	s.o.Log.Info("request ended", "request", req.caller.Attempt, "class", class, "tier", req.tier, "workspace", req.workspace.Name,
 		"version", req.version, "status", status, "reason", string(reason), "detail", detail, "cut", e.cut, "endpoint", req.endpoint, "placed_by", req.placedBy, "sends", req.sends,
-		"read", req.read, "predicted_ms", req.predicted.Milliseconds(), "first_ms", req.firstEvent.Milliseconds(),
+		"read", req.read, "waited_ms", req.waited.Milliseconds(), "predicted_ms", req.predicted.Milliseconds(), "first_ms", req.firstEvent.Milliseconds(),
 		"gap_ms", req.longestGap.Milliseconds(), "events", req.events, "total_ms", total.Milliseconds(), "left", r.Context().Err() != nil)
 }
 
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -11,6 +11,9 @@
 // hostedGrace is how long after its deadline a request of another daemon may still be reported as running.
 const hostedGrace = time.Second
 
+// heldGrace is how long a waiting request may not be asked for again until it is taken as gone.
+const heldGrace = 10 * placement.HoldInterval
+
 // hostedKey names a request of another daemon.
 type hostedKey struct {
 	daemon string
@@ -76,7 +79,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if known := s.hosted[key]; known != nil {
-		if known.incarnation == q.Incarnation {
+		if known.incarnation == q.Incarnation && !known.reply.Hold {
 			return known.reply
 		}
 		known.ticket.End(now, placement.Abandoned)
@@ -84,6 +87,7 @@
 	}
 	r := &placement.Request{
 		Class: q.Class, Zone: q.Zone, Output: int(q.OutputTokens), FirstByte: time.Duration(q.FirstByteUs) * time.Microsecond, Avoid: q.Avoid,
+		MayWait: time.Duration(q.MayWaitUs) * time.Microsecond, Waited: q.Waited,
 		Tier: int(q.Tier), Remaining: time.Duration(q.RemainingMs) * time.Millisecond,
 		Chain: placement.Chain{Keys: q.Parts, Total: int(q.PromptTokens), Shared: int(q.SharedTokens)},
 	}
@@ -99,6 +103,13 @@
 		reply.Refusal, reply.RetryAfterMs = uint32(refusal.Reason), uint32(refusal.RetryAfter.Milliseconds())
 		return reply
 	}
+	if choice.Hold {
+		reply.Hold, reply.Endpoint = true, choice.Hash
+		s.hosted[key] = &hostedRequest{
+			ticket: s.board.Reserve(now, q.Pool, r, choice, placement.Hosted), incarnation: q.Incarnation, reply: reply, expires: now.Add(heldGrace),
+		}
+		return reply
+	}
 	reply.Endpoint, reply.FetchFrom = choice.Hash, choice.FetchFrom
 	reply.ReadTokens, reply.WaitUs = uint32(max(choice.Read, 0)), uint32(choice.Wait.Microseconds())
 	s.hosted[key] = &hostedRequest{
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -67,8 +67,56 @@
 	return processKey(self.Daemon, incarnation)
 }
 
+// heldQuestion names the question of a waiting request, which keeps its number when it is asked again.
+type heldQuestion struct {
+	host string
+	id   uint64
+}
+
 // place chooses an endpoint and records the attempt there. The end is not nil when the request is refused.
+// The request waits here while an engine reads its shared parts for another request.
 func (s *Server) place(ctx context.Context, req *request) (placement.Choice, *placed, *end) {
+	defer func() { req.held, req.wanted.Waited = heldQuestion{}, false }()
+	for {
+		choice, attempt, refused := s.placeOnce(ctx, req)
+		if refused != nil || !choice.Hold {
+			return choice, attempt, refused
+		}
+		if !req.wanted.Waited {
+			s.stats.count("chivewind_entry_waits_total", "class", req.route.Class)
+		}
+		req.wanted.Waited = true
+		begun := time.Now()
+		select {
+		case <-ctx.Done():
+		case <-time.After(placement.HoldInterval):
+		}
+		req.waited += time.Since(begun)
+		if ctx.Err() != nil {
+			s.leave(attempt, true)
+			e := s.expired(ctx, req)
+			return choice, nil, &e
+		}
+		s.leave(attempt, false)
+	}
+}
+
+// leave ends the reservation of a waiting request. The scheduler replaces its part by itself when the
+// request is placed again.
+func (s *Server) leave(attempt *placed, forGood bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if attempt.local != nil {
+		attempt.local.End(time.Now(), placement.Abandoned)
+	}
+	if forGood {
+		s.tell(attempt, true, placement.Abandoned)
+	}
+}
+
+// placeOnce asks the scheduler, or decides here when there is none.
+func (s *Server) placeOnce(ctx context.Context, req *request) (placement.Choice, *placed, *end) {
+	req.wanted.MayWait = max(placement.MayWait(req.wanted.FirstByte)-time.Since(req.arrival), 0)
 	if req.pool.Engine != nil {
 		if host := s.schedulerToAsk(); host != nil {
 			if choice, attempt, refused, ok := s.ask(ctx, req, host); ok {
@@ -86,6 +134,9 @@
 	}
 	self, _ := s.fleet.Self()
 	req.placedBy = self.Daemon
+	if choice.Hold {
+		return choice, &placed{local: s.board.Reserve(now, req.pool.Name, &req.wanted, choice, placement.Own)}, nil
+	}
 	ticket := s.board.Start(now, req.pool.Name, &req.wanted, choice, placement.Own)
 	s.fleet.MarkDirty()
 	return choice, &placed{local: ticket}, nil
@@ -127,8 +178,12 @@
 	replies := make(chan *peer.PlaceReply, 1)
 	question := s.question(req)
 	s.mu.Lock()
-	s.asking.nextID++
-	question.Id = s.asking.nextID
+	if req.held.host == host.Identity.Daemon {
+		question.Id = req.held.id
+	} else {
+		s.asking.nextID++
+		question.Id = s.asking.nextID
+	}
 	s.asking.waiting[question.Id] = replies
 	question.Avoid = append(s.board.Unreachable(time.Now(), req.pool.Name), req.wanted.Avoid...)
 	s.mu.Unlock()
@@ -151,10 +206,14 @@
 		wait := time.Duration(reply.RetryAfterMs) * time.Millisecond
 		return choice, nil, &end{reply: notRun(refusalReason(placement.Reason(reply.Refusal)), wait)}, true
 	}
+	attempt = &placed{host: host.Identity, id: question.Id}
+	if reply.Hold {
+		req.held = heldQuestion{host: host.Identity.Daemon, id: question.Id}
+		return placement.Choice{Hold: true}, attempt, nil, true
+	}
 	choice, known := s.board.Resolve(placement.Choice{
 		Hash: reply.Endpoint, FetchFrom: reply.FetchFrom, Read: int(reply.ReadTokens), Wait: time.Duration(reply.WaitUs) * time.Microsecond,
 	})
-	attempt = &placed{host: host.Identity, id: question.Id}
 	if !known {
 		// The scheduler knows an endpoint that this daemon has not heard of yet.
 		s.tell(attempt, true, placement.Abandoned)
@@ -178,6 +237,7 @@
 		PromptTokens: uint32(w.Chain.Total), SharedTokens: uint32(w.Chain.Shared), OutputTokens: uint32(w.Output),
 		Parts: w.Chain.Keys, FirstByteUs: uint32(w.FirstByte.Microseconds()), Tier: uint32(max(w.Tier, 0)),
 		RemainingMs: uint32(max(time.Until(req.deadline).Milliseconds(), 0)),
+		MayWaitUs:   uint32(w.MayWait.Microseconds()), Waited: w.Waited,
 	}
 	for _, end := range w.Chain.Ends {
 		q.PartEnds = append(q.PartEnds, uint32(end))
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -37,6 +37,10 @@
 	limit Reason
 	// wanted describes the request for placement.
 	wanted placement.Request
+	// held is the question of a request that waits at a scheduler.
+	held heldQuestion
+	// waited is the time for which the request has waited for prompt parts.
+	waited time.Duration
 
 	// sends counts endpoints that may have received the request.
 	sends int
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -69,7 +69,7 @@
 	if r.Remaining > 0 && wait > time.Duration(deadlineShare*float64(r.Remaining)) {
 		return &Refusal{Reason: Hopeless, RetryAfter: retryAfter(wait)}
 	}
-	if !b.leastUrgent(r) {
+	if r.Waited || !b.leastUrgent(r) {
 		return nil
 	}
 	bound := time.Duration(p.pressure.share(now) * float64(r.FirstByte))
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -74,7 +74,9 @@
 	tokens int
 	// confirmed says that the engine has read the part; before, it is only on its way.
 	confirmed bool
-	at        time.Time
+	// readers is the number of requests in progress that make the engine read the part.
+	readers int
+	at      time.Time
 }
 
 // engineCache models what one engine keeps: the least recently used parts yield.
@@ -113,17 +115,24 @@
 	return e
 }
 
-// kept returns the number of leading parts that an engine has or is reading.
-func (m *cacheMap) kept(c Chain, engine uint32) int {
+// kept returns the number of leading parts that an engine has or is reading, and the number of those that
+// it has.
+func (m *cacheMap) kept(c Chain, engine uint32) (kept, confirmed int) {
 	e := m.engines[engine]
 	if e == nil {
-		return 0
+		return 0, 0
 	}
-	n := 0
-	for n < len(c.Keys) && e.parts[c.Keys[n]] != nil {
-		n++
+	for kept < len(c.Keys) {
+		el := e.parts[c.Keys[kept]]
+		if el == nil {
+			break
+		}
+		if confirmed == kept && el.Value.(*cached).confirmed {
+			confirmed++
+		}
+		kept++
 	}
-	return n
+	return kept, confirmed
 }
 
 // source is an engine with a number of leading parts of a chain.
@@ -181,6 +190,7 @@
 	e := m.engine(engine)
 	for i, key := range c.Keys {
 		m.put(now, e, engine, key, c.tokens(i+1)-c.tokens(i), false)
+		e.parts[key].Value.(*cached).readers++
 	}
 }
 
@@ -189,6 +199,9 @@
 	e := m.engine(engine)
 	for i, key := range c.Keys {
 		tokens := c.tokens(i+1) - c.tokens(i)
+		if el := e.parts[key]; el != nil {
+			el.Value.(*cached).readers--
+		}
 		if fresh := m.put(now, e, engine, key, tokens, true); fresh {
 			m.news = append(m.news, news{key: key, engine: engine, tokens: tokens, left: newsRepeats})
 		}
@@ -243,14 +256,20 @@
 	}
 }
 
-// withdraw forgets a chain that an engine did not read after all.
+// withdraw records that a request ended before the engine had read its chain. Parts that no other request
+// makes the engine read are forgotten.
 func (m *cacheMap) withdraw(c Chain, engine uint32) {
 	e := m.engines[engine]
 	if e == nil {
 		return
 	}
 	for _, key := range c.Keys {
-		if el := e.parts[key]; el != nil && !el.Value.(*cached).confirmed {
+		el := e.parts[key]
+		if el == nil {
+			continue
+		}
+		part := el.Value.(*cached)
+		if part.readers--; part.readers <= 0 && !part.confirmed {
 			m.remove(e, engine, el)
 		}
 	}
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -125,8 +125,10 @@
 	load  load
 	owner Owner
 	// epoch is the scheduler's at the start; a later scheduler does not know the attempt.
-	epoch    int
-	plain    bool
+	epoch int
+	plain bool
+	// reserved says that the request waits and is not sent yet.
+	reserved bool
 	chain    Chain
 	output   int
 	expected time.Duration
@@ -160,6 +162,24 @@
 
 // Start records that an attempt is sent to the chosen endpoint.
 func (b *Board) Start(now time.Time, poolName string, r *Request, c Choice, owner Owner) *Ticket {
+	t := b.ticket(now, poolName, r, c, owner)
+	if !t.plain {
+		b.cache.promise(now, t.chain, t.e.hash)
+	}
+	t.e.health.began(now)
+	return t
+}
+
+// Reserve records that a request waits for the chosen endpoint. The ticket ends before the request is placed
+// again.
+func (b *Board) Reserve(now time.Time, poolName string, r *Request, c Choice, owner Owner) *Ticket {
+	t := b.ticket(now, poolName, r, c, owner)
+	t.reserved = true
+	return t
+}
+
+// ticket adds the load of a request to the chosen endpoint.
+func (b *Board) ticket(now time.Time, poolName string, r *Request, c Choice, owner Owner) *Ticket {
 	p := b.pools[poolName]
 	e := b.endpoint(now, c.Endpoint)
 	t := &Ticket{board: b, pool: p, e: e, started: now, owner: owner, epoch: b.epoch, expected: c.Wait, plain: p == nil || p.Engine == nil}
@@ -176,9 +196,7 @@
 		t.chain = r.Chain
 		t.output = r.Output
 		e.memory.add(t.chain, t.output)
-		b.cache.promise(now, t.chain, e.hash)
 	}
-	e.health.began(now)
 	return t
 }
 
@@ -269,6 +287,12 @@
 	if !t.plain {
 		e.memory.remove(t.chain, t.output)
 	}
+	if t.reserved {
+		return
+	}
+	if !t.plain && !t.first {
+		t.board.cache.withdraw(t.chain, e.hash)
+	}
 	switch o {
 	case Served:
 		e.progressAt = now
@@ -280,9 +304,6 @@
 		e.health.failed(now)
 	case Unreachable:
 		e.health.unreachable(now)
-		if !t.first {
-			t.board.cache.withdraw(t.chain, e.hash)
-		}
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,6 +33,10 @@
 	Remaining time.Duration
 	// FirstByte is the latency target; zero means none.
 	FirstByte time.Duration
+	// MayWait is the time for which the request may wait for shared parts that an engine is reading.
+	MayWait time.Duration
+	// Waited says that the request was admitted before and has waited since.
+	Waited bool
 	// Avoid lists hashes of endpoints that must not be chosen.
 	Avoid []uint32
 }
@@ -48,6 +52,9 @@
 	Read int
 	// Wait is the expected time to the first byte.
 	Wait time.Duration
+	// Hold says that the engine is reading the request's shared parts for another request. An engine compares
+	// a prompt with its cache when it admits it, so that it would read them twice if it got the request now.
+	Hold bool
 	// Full says that the engine has too many streams, or too little memory for the request beside them.
 	Full bool
 	// Cost is the expected loss, in shares of a request's worth; for logs.
@@ -82,10 +89,24 @@
 	failureWeight = 1.5
 	// fullWeight is the loss at an engine that is full.
 	fullWeight = 4.0
+	// minHold is the number of shared tokens for which a request waits until another one has made the engine
+	// read them; fewer are read again within a few steps of the engine.
+	minHold = 2000
 	// silentWeight is the loss at an endpoint that has sent nothing for a while although requests run there.
 	silentWeight = 1.0
 )
 
+const (
+	// HoldInterval is the time after which a waiting request is placed again. An engine reads a long shared
+	// part in some hundred milliseconds.
+	HoldInterval = 50 * time.Millisecond
+	// holdShare is the part of the latency target for which a request may wait for shared parts.
+	holdShare = 0.6
+)
+
+// MayWait returns the time for which a request with a latency target may wait for shared parts.
+func MayWait(target time.Duration) time.Duration { return time.Duration(holdShare * float64(target)) }
+
 // Board holds the load of all endpoints.
 type Board struct {
 	salt      rendezvous.Hash
@@ -288,11 +309,17 @@
 		return choice
 	}
 	load := e.load()
-	kept := b.cache.kept(r.Chain, e.hash)
+	kept, confirmed := b.cache.kept(r.Chain, e.hash)
 	choice.Read = r.Chain.Total - r.Chain.tokens(kept)
-	if source, more := r.sources.best(e.hash); more > kept {
-		moved := r.Chain.tokens(more) - r.Chain.tokens(kept)
+	source, more := r.sources.best(e.hash)
+	if more > confirmed {
+		// The engine copies what has not arrived there yet.
 		choice.FetchFrom = source
+	} else {
+		choice.Hold = r.MayWait > 0 && r.Chain.tokens(kept)-r.Chain.tokens(confirmed) >= minHold
+	}
+	if more > kept {
+		moved := r.Chain.tokens(more) - r.Chain.tokens(kept)
 		choice.Read -= moved
 		cost += fetchWeight * float64(moved) / 1000
 		if p.Engine.LinkBytesPerMs > 0 {
