--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -189,7 +189,7 @@
 		resp.Close()
 		outcome := placement.Refused
 		if head.OtherEndpoint {
-			outcome = placement.Unreachable
+			outcome = placement.Gone
 		}
 		return result{outcome: outcome, sent: true, notRun: true, cause: fmt.Sprintf("refused with status %d", resp.Status)}
 	}
@@ -206,7 +206,11 @@
 		e := s.expired(ctx, req)
 		return result{end: &e, outcome: placement.Abandoned}
 	}
-	return result{outcome: placement.Unreachable, sent: sent, cause: err.Error()}
+	outcome := placement.Unreachable
+	if upstream.Refused(err) {
+		outcome = placement.Gone
+	}
+	return result{outcome: outcome, sent: sent, cause: err.Error()}
 }
 
 // giveUp decides whether a failed attempt ends the request.
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -263,6 +263,8 @@
 	Failed
 	// Unreachable: no connection could be made, or it was reset before an answer.
 	Unreachable
+	// Gone: no process listens at the endpoint's address, or another one does.
+	Gone
 	// Abandoned: the caller left or the time was up.
 	Abandoned
 )
@@ -299,6 +301,10 @@
 		e.health.failed(now)
 	case Unreachable:
 		e.health.unreachable(now)
+	case Gone:
+		// An endpoint that starts again at the address begins with an empty cache.
+		e.health.unreachable(now)
+		t.board.cache.drop(e.hash)
 	}
 }
 
--- a/internal/placement/wait_test.go
+++ b/internal/placement/wait_test.go
@@ -144,3 +144,22 @@
 		t.Errorf("in an overload %.2f of the target, want %.2f", got, overloadShare)
 	}
 }
+
+// TestStoppedEndpointHasNothing guards against requests that are sent for cached parts to an endpoint which
+// has crashed and may run again at the same address before its entry changes.
+func TestStoppedEndpointHasNothing(t *testing.T) {
+	b := testBoard(1, 0)
+	r := &Request{Class: 1, Zone: "z0", Chain: testPrompt("a", 8000, 100), FirstByte: 2 * time.Second}
+	first := b.Start(start, "p", r, mustChoose(t, b, start, "p", r), Own)
+	first.Event(start)
+	first.End(start, Served)
+	b.Start(start, "p", r, mustChoose(t, b, start, "p", r), Own).End(start, Unreachable)
+	later := start.Add(firstPause)
+	if c := mustChoose(t, b, later, "p", r); c.Read != 0 {
+		t.Errorf("%d tokens to read after a broken connection, want 0", c.Read)
+	}
+	b.Start(later, "p", r, mustChoose(t, b, later, "p", r), Own).End(later, Gone)
+	if c := mustChoose(t, b, later.Add(2*firstPause), "p", r); c.Read != 8100 {
+		t.Errorf("%d tokens to read at an endpoint that had stopped, want 8100", c.Read)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -229,3 +229,6 @@
 func Reset(err error) bool {
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
+
+// Refused says whether no process listens at the endpoint's address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
