Let only watchers pass on changed keys in a large fleet, and raise the loss for copies

A daemon that misses a change sees the newer revision in any report and asks for it, as before. Cause 2: each copy of a shared part displaces another one on an engine whose memory is full; a copy weighed 0.006 for 1,000 tokens, a fifth of reading them.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -439,7 +439,9 @@
 				s.schedule(host, func(*peer.PlaceReply) {})
 			}
 			statuses := make(chan int, 2)
-			go func() { statuses <- s.call(t, "/model/1", "Token-Usage", "5010,10", "Prefix-Hash", "a:5000,b:10").status }()
+			go func() {
+				statuses <- s.call(t, "/model/1", "Token-Usage", "5010,10", "Prefix-Hash", "a:5000,b:10").status
+			}()
 			waitFor(t, func() bool { return total(e) == 1 })
 			go func() {
 				patience := "10000"
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -128,7 +128,9 @@
 		Daemon: f.o.Self.Daemon, Incarnation: f.incarnation, Sequence: f.sequence, State: f.self, Revision: f.state.Revision(),
 		StoreAgeMs: unknownAge,
 	}
-	r.Entries, r.EntriesSince = f.recentEntries(now)
+	if f.members.Spreads(now, watchFreshness) {
+		r.Entries, r.EntriesSince = f.recentEntries(now)
+	}
 	if !f.contact.IsZero() && !f.failing {
 		r.StoreAgeMs = uint32(min(now.Sub(f.contact).Milliseconds(), unknownAge))
 	}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -157,6 +157,13 @@
 	return ready
 }
 
+// Spreads says whether this daemon's reports carry the keys that changed lately. In a large fleet only those
+// of watchers do: from all daemons, each change would travel once over each pair. Others learn from the
+// revision in a report that they have missed one, and ask for it.
+func (m *Members) Spreads(now time.Time, freshness time.Duration) bool {
+	return len(m.members) <= smallFleet || m.MustWatch(now, freshness)
+}
+
 // All returns where all known daemons are reached, also silent ones.
 func (m *Members) All() []*peer.Identity {
 	ids := make([]*peer.Identity, 0, len(m.members))
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -102,6 +102,30 @@
 	}
 }
 
+// TestSpreads guards against changes that travel between all pairs of a large fleet, and against a fleet in
+// which nobody passes them on.
+func TestSpreads(t *testing.T) {
+	for _, c := range []struct {
+		size, want int
+		age        time.Duration
+	}{{4, 4, 0}, {smallFleet + 1, smallFleet + 1, 0}, {40, watcherCount, 0}, {40, 40, watchFreshness}} {
+		var ids []*peer.Identity
+		for i := range c.size {
+			ids = append(ids, testIdentity(fmt.Sprintf("d%02d", i), "z"))
+		}
+		spreading := 0
+		for i, self := range ids {
+			m := heard(self, start, slices.Delete(slices.Clone(ids), i, i+1)...)
+			if m.Spreads(start.Add(c.age), watchFreshness) {
+				spreading++
+			}
+		}
+		if spreading != c.want {
+			t.Errorf("%d of %d daemons pass on changes when the others were heard %s ago, want %d", spreading, c.size, c.age, c.want)
+		}
+	}
+}
+
 // TestSchedulers guards against daemons that ask different schedulers, and against a small VM that
 // schedules for large ones.
 func TestSchedulers(t *testing.T) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -75,7 +75,7 @@
 	// rereadWeight is the loss for 1,000 shared prompt tokens that another engine has or is reading, and
 	// fetchWeight the loss for copying them from there instead.
 	rereadWeight = 0.03
-	fetchWeight  = 0.006
+	fetchWeight  = 0.015
 	// homeWeight is the loss for 1,000 shared prompt tokens that nobody has and that are read by an engine that
 	// is not their home. Daemons that place requests without a scheduler agree on the home.
 	homeWeight = 0.02
