Do not fault on a caller that leaves while its request waits

Cause: found by reading the tree again. The end of a request whose caller leaves while it waits for shared parts has no answer of ours; run took every end without an endpoint for a refusal with one and dereferenced nil. The deadline of a repeated request that waits is a 504 again, not a 502.

Ruled out: a false 503 there; a request that waits has not been sent, or it gets 504.

Tests: TestCallerLeavesWhileWaiting failed with the fault (the end is not counted within 5 s).

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -79,11 +79,7 @@
 		req.wanted.Avoid = avoid
 		choice, attempt, refused := s.place(ctx, req)
 		if refused != nil {
-			if unsent > 0 && refused.reply.reason == NoEndpoint {
-				refused.reply.reason = NoEndpointReached
-			}
-			refused.reply = notRunUnlessSent(req, refused.reply.reason, refused.reply.retryAfter)
-			return *refused
+			return refusedEnd(req, *refused, unsent)
 		}
 		res := s.attempt(ctx, req, choice, attempt, answer)
 		s.release(attempt, res.outcome, req, fingerprint, choice)
@@ -104,6 +100,20 @@
 	}
 }
 
+// refusedEnd is the end of a request that got no endpoint. Only an earlier attempt changes it, as it may have
+// run; the end of a request whose time was up or whose caller left while it waited stays as it is.
+func refusedEnd(req *request, e end, unsent int) end {
+	if e.reply == nil || e.reply.status != http.StatusServiceUnavailable {
+		return e
+	}
+	reason := e.reply.reason
+	if unsent > 0 && reason == NoEndpoint {
+		reason = NoEndpointReached
+	}
+	e.reply = notRunUnlessSent(req, reason, e.reply.retryAfter)
+	return e
+}
+
 // notRunUnlessSent is the answer for a request that cannot be sent any further.
 func notRunUnlessSent(req *request, reason Reason, retryAfter time.Duration) *reply {
 	if req.sends > 0 {
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -93,25 +93,30 @@
 		}
 		req.waited += time.Since(begun)
 		if ctx.Err() != nil {
-			s.leave(attempt, true)
+			s.endWait(attempt)
 			e := s.expired(ctx, req)
 			return choice, nil, &e
 		}
-		s.leave(attempt, false)
+		s.endReservation(attempt)
 	}
 }
 
-// leave ends the reservation of a waiting request. The scheduler replaces its part by itself when the
-// request is placed again.
-func (s *Server) leave(attempt *placed, forGood bool) {
+// endReservation ends the load of a waiting request that is about to be placed again. A scheduler replaces its
+// own part when it is asked again.
+func (s *Server) endReservation(attempt *placed) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if attempt.local != nil {
 		attempt.local.End(time.Now(), placement.Abandoned)
 	}
-	if forGood {
-		s.tell(attempt, true, placement.Abandoned)
-	}
+}
+
+// endWait ends the load of a request that waits no more, also at the scheduler.
+func (s *Server) endWait(attempt *placed) {
+	s.endReservation(attempt)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tell(attempt, true, placement.Abandoned)
 }
 
 // placeOnce asks the scheduler, or decides here when there is none.
--- /dev/null
+++ b/internal/entry/schedule_test.go
@@ -0,0 +1,175 @@
+package entry_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/chivewind/chivewind/internal/entry"
+	"github.com/chivewind/chivewind/internal/fleet"
+	"github.com/chivewind/chivewind/internal/placement"
+	"github.com/chivewind/chivewind/internal/promtext"
+	"github.com/chivewind/chivewind/peer"
+)
+
+// TestSilentScheduler guards against requests that wait for a scheduler that is gone.
+func TestSilentScheduler(t *testing.T) {
+	e := startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) { events(w, r, 1, 2, true) })
+	s := startSystem(t, calm, e)
+	s.fleet.Members = []*fleet.Member{{Identity: &peer.Identity{Daemon: "gone"}}}
+	asked := 0
+	s.fleet.OnSend = func(d *peer.Datagram) {
+		if d.GetPlace() != nil {
+			asked++
+		}
+	}
+	for range 3 {
+		if got := s.call(t, "/model/1", "Token-Usage", "10,10", "Prefix-Hash", "a:5,b:5"); got.status != 200 {
+			t.Errorf("status %d without a scheduler", got.status)
+		}
+	}
+	if asked == 0 || asked > 2 {
+		t.Errorf("a silent scheduler was asked %d times in a row", asked)
+	}
+}
+
+// schedule makes another system the scheduler. Each question arrives twice.
+func (s *system) schedule(host *system, replied func(*peer.PlaceReply)) {
+	host.fleet.OnSend = func(d *peer.Datagram) {
+		replied(d.GetPlaced())
+		s.HandleDatagram(d, netip.AddrPort{})
+	}
+	s.fleet.Members = []*fleet.Member{{Identity: &peer.Identity{Daemon: "host"}, Incarnation: 1}}
+	s.fleet.OnSend = func(d *peer.Datagram) {
+		host.HandleDatagram(d, netip.AddrPort{})
+		if d.GetPlace() != nil {
+			host.HandleDatagram(d, netip.AddrPort{})
+		}
+	}
+}
+
+// TestWaitForParts guards against a request that reaches an engine while it still reads the same shared parts
+// for another one, against one that waits on when they are read, and against load that stays behind when a
+// waiting caller leaves.
+func TestWaitForParts(t *testing.T) {
+	for _, c := range []struct {
+		desc              string
+		scheduler, leaves bool
+	}{
+		{"placed here", false, false}, {"placed by a scheduler", true, false},
+		{"placed here, the caller leaves", false, true}, {"placed by a scheduler, the caller leaves", true, true},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			release := make(chan struct{})
+			e := startEndpoint(t, "1", func(n int, w net.Conn, r *http.Request) {
+				if n == 1 {
+					<-release
+				}
+				events(w, r, 1, 2, true)
+			})
+			s, host := startSystem(t, calm, e), startSystem(t, calm, e)
+			if c.scheduler {
+				s.schedule(host, func(*peer.PlaceReply) {})
+			}
+			statuses := make(chan int, 2)
+			go func() {
+				statuses <- s.call(t, "/model/1", "Token-Usage", "5010,10", "Prefix-Hash", "a:5000,b:10").status
+			}()
+			waitFor(t, func() bool { return total(e) == 1 })
+			go func() {
+				patience := "10000"
+				if c.leaves {
+					patience = "300"
+				}
+				statuses <- s.call(t, "/model/2", "Token-Usage", "5010,10", "Prefix-Hash", "a:5000,c:10", "Deadline-Ms", patience).status
+			}()
+			if c.leaves {
+				if got := <-statuses; got != http.StatusServiceUnavailable {
+					t.Errorf("status %d for a request that waited until its deadline, want 503", got)
+				}
+			} else {
+				time.Sleep(4 * placement.HoldInterval)
+			}
+			if n := total(e); n != 1 {
+				t.Errorf("%d requests reached the engine while it read the parts", n)
+			}
+			close(release)
+			want := 2
+			if c.leaves {
+				want = 1
+			}
+			for range want {
+				if got := <-statuses; got != http.StatusOK {
+					t.Errorf("status %d", got)
+				}
+			}
+			if n := total(e); n != want {
+				t.Errorf("%d requests reached the engine, want %d", n, want)
+			}
+			for _, system := range []*system{s, host} {
+				waitFor(t, func() bool {
+					report := &peer.Report{}
+					system.FillReport(report, true)
+					return len(report.Loads) == 0
+				})
+			}
+		})
+	}
+}
+
+// TestCallerLeavesWhileWaiting guards against a request that ends without being counted, or stops its handler,
+// when its caller leaves before it has an endpoint.
+func TestCallerLeavesWhileWaiting(t *testing.T) {
+	release := make(chan struct{})
+	e := startEndpoint(t, "1", func(n int, w net.Conn, r *http.Request) {
+		<-release
+		events(w, r, 1, 2, true)
+	})
+	s := startSystem(t, calm, e)
+	done := make(chan int, 1)
+	go func() { done <- s.call(t, "/model/1", "Token-Usage", "5010,10", "Prefix-Hash", "a:5000,b:10").status }()
+	waitFor(t, func() bool { return total(e) == 1 })
+	c, err := net.Dial("tcp4", s.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(c, "POST /model/2 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a2\r\nAuthorization: Token k1\r\nDeadline-Ms: 10000\r\n"+
+		"Token-Usage: 5010,10\r\nPrefix-Hash: a:5000,c:10\r\nContent-Length: 0\r\n\r\n")
+	waited := promtext.Name("chivewind_entry_waits_total", "class", "streaming-0-5000ms")
+	waitFor(t, func() bool { return s.counter(waited) == 1 })
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	left := promtext.Name("chivewind_entry_requests_total", "class", "streaming-0-5000ms", "status", "0", "reason", string(entry.CallerLeft))
+	waitFor(t, func() bool { return s.counter(left) == 1 })
+	close(release)
+	if got := <-done; got != http.StatusOK {
+		t.Errorf("status %d for the request that the other one waited for", got)
+	}
+	if n := total(e); n != 1 {
+		t.Errorf("%d requests reached the engine, want 1", n)
+	}
+}
+
+// TestScheduler guards against a scheduler and a daemon that disagree on a request: it runs where the
+// scheduler says, a repeated question gets the same answer, and its end frees the endpoint.
+func TestScheduler(t *testing.T) {
+	e := startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) { events(w, r, 1, 2, true) })
+	s, host := startSystem(t, calm, e), startSystem(t, calm, e)
+	var replies []*peer.PlaceReply
+	s.schedule(host, func(r *peer.PlaceReply) { replies = append(replies, r) })
+	if got := s.call(t, "/model/1", "Token-Usage", "10,10", "Prefix-Hash", "a:5,b:5"); got.status != 200 {
+		t.Errorf("status %d", got.status)
+	}
+	if len(replies) != 2 || replies[0].Endpoint == 0 || replies[0] != replies[1] {
+		t.Errorf("replies %v", replies)
+	}
+	report := &peer.Report{}
+	host.FillReport(report, true)
+	if len(report.Loads) != 0 {
+		t.Errorf("the scheduler reports %v as its own", report.Loads)
+	}
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -59,6 +60,20 @@
 // defaultPatience bounds a request whose route and caller state no limit.
 const defaultPatience = 60 * time.Second
 
+// reportPanic logs a fault of the daemon that ends a request, and closes its connection. The HTTP server alone
+// would report it among the faults of connections.
+func (s *Server) reportPanic(attempt string) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	if fault != http.ErrAbortHandler {
+		s.o.Log.Error("a request ended by a fault of the daemon", "request", attempt, "fault", fault, "stack", string(debug.Stack()))
+		s.stats.count("chivewind_entry_panics_total")
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrival := time.Now()
@@ -68,6 +83,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	caller := s.o.Wire.ReadRequest(r.Header)
+	defer s.reportPanic(caller.Attempt)
 	req, refusal := s.identify(r, caller, arrival)
 	if refusal != nil {
 		s.refuse(w, caller, refusal)
--- /dev/null
+++ b/internal/entry/system_test.go
@@ -0,0 +1,226 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/chivewind/chivewind/config"
+	"github.com/chivewind/chivewind/internal/entry"
+	"github.com/chivewind/chivewind/internal/entry/entrytest"
+	"github.com/chivewind/chivewind/internal/fleet"
+	"github.com/chivewind/chivewind/platform/managed"
+	"github.com/chivewind/chivewind/settings"
+	"github.com/chivewind/chivewind/traffic"
+)
+
+// endpoint is a stand-in of an endpoint. It counts the attempts that reached it.
+type endpoint struct {
+	id      string
+	address string
+
+	mu   sync.Mutex
+	seen []*http.Request
+}
+
+func (e *endpoint) requests() []*http.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]*http.Request(nil), e.seen...)
+}
+
+// startEndpoint runs an endpoint whose answers a function writes to the connection; n counts its requests.
+func startEndpoint(t *testing.T, id string, serve func(n int, w net.Conn, r *http.Request)) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	e := &endpoint{id: id, address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.handle(c, serve)
+		}
+	}()
+	return e
+}
+
+func (e *endpoint) handle(c net.Conn, serve func(n int, w net.Conn, r *http.Request)) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		e.mu.Lock()
+		e.seen = append(e.seen, r)
+		n := len(e.seen)
+		e.mu.Unlock()
+		serve(n, c, r)
+	}
+}
+
+// ok answers with a body and a stamp.
+func ok(w net.Conn, r *http.Request, status int, body string) {
+	fmt.Fprintf(w, "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nServer-Stamp: stamp-%s\r\nContent-Length: %d\r\n\r\n%s",
+		status, r.Header.Get("Attempt-Id"), r.Header.Get("Expect-Instance"), len(body), body)
+}
+
+// notRun refuses a request.
+func notRun(w net.Conn, r *http.Request) {
+	fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Attempt-Id"))
+}
+
+// events streams events with ids from first to last; complete ends the stream properly.
+func events(w net.Conn, r *http.Request, first, last int, complete bool) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: stamp-%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		r.Header.Get("Attempt-Id"), r.Header.Get("Expect-Instance"))
+	for id := first; id <= last; id++ {
+		event := fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
+		fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
+	}
+	if complete {
+		fmt.Fprint(w, "0\r\n\r\n")
+		return
+	}
+	fmt.Fprint(w, "7\r\nid: 9\nd") // The run breaks in the middle of an event.
+	_ = w.Close()
+}
+
+const testTable = `{"version":1,"routes":[
+ {"name":"once","hostname":"h","prefix":"/once/","route_kind":"unsafe","service":"s","max_attempts":3,"timeout_ms":%d},
+ {"name":"safe","hostname":"h","prefix":"/safe/","route_kind":"safe","service":"s","max_attempts":2,"timeout_ms":%d},
+ {"name":"stream","hostname":"h","prefix":"/stream/","route_kind":"streaming","service":"s","max_attempts":2,"timeout_ms":%d},
+ {"name":"resume","hostname":"h","prefix":"/resume/","route_kind":"streaming","resumable":true,"service":"s","max_attempts":2,"timeout_ms":%d},
+ {"name":"model","hostname":"h","prefix":"/model/","route_kind":"streaming","service":"m","max_attempts":1,"timeout_ms":%d,"slo_ms":5000}],
+ "services":[{"name":"s"},{"name":"m","engine":{"slots":64,"kv_capacity":100000}}],"limits":{"max_body_bytes":1000},
+ "tenants":[{"name":"t1","api_keys":["k1"]}]}`
+
+// system is a Server in front of endpoints.
+type system struct {
+	*entry.Server
+	fleet   *entrytest.Fleet
+	front   *httptest.Server
+	metrics metrics.Registry
+}
+
+func startSystem(t *testing.T, timeoutMs int, endpoints ...*endpoint) *system {
+	t.Helper()
+	return startSystemWith(t, timeoutMs, managed.Wire{}, hclog.NewNullLogger(), endpoints...)
+}
+
+func startSystemWith(t *testing.T, timeoutMs int, wire entry.Wire, log hclog.Logger, endpoints ...*endpoint) *system {
+	t.Helper()
+	table, err := managed.DecodeTable([]byte(fmt.Sprintf(testTable, timeoutMs, timeoutMs, timeoutMs, timeoutMs, timeoutMs)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := &fleet.View{Table: table, Endpoints: map[string]traffic.Endpoint{}, ByPool: map[string][]traffic.Endpoint{}}
+	for _, e := range endpoints {
+		for _, pool := range []string{"s", "m"} {
+			info := traffic.Endpoint{ID: pool + e.id, Pool: pool, Address: e.address, Zone: "z", Slots: 6}
+			view.Endpoints[info.ID] = info
+			view.ByPool[pool] = append(view.ByPool[pool], info)
+		}
+	}
+	s := &system{fleet: &entrytest.Fleet{Current: view}, metrics: metrics.NewRegistry()}
+	s.Server = entry.New(entry.Options{
+		Zone: "z", Wire: wire, Log: log, Metrics: s.metrics,
+		Bounds: settings.Bounds{RetryRatio: 0.2, RetryReserve: 5, RetryWindow: config.Duration(10 * time.Second)},
+	})
+	s.SetFleet(s.fleet)
+	s.SetView(view)
+	s.front = httptest.NewServer(s.Server)
+	t.Cleanup(func() {
+		s.front.CloseClientConnections()
+		s.front.Close()
+		s.Close()
+	})
+	return s
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	body   string
+	header http.Header
+	// cut says that the connection ended before the answer.
+	cut bool
+}
+
+func (s *system) call(t *testing.T, path string, header ...string) reply {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.front.URL+path, strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Attempt-Id", "a1")
+	req.Header.Set("Authorization", "Token k1")
+	req.Header.Set("Deadline-Ms", "10000")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return reply{cut: true}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, body: string(body), header: resp.Header, cut: err != nil}
+}
+
+const calm = 8000 // ms, a route timeout that a test does not reach
+
+func total(endpoints ...*endpoint) int {
+	n := 0
+	for _, e := range endpoints {
+		n += len(e.requests())
+	}
+	return n
+}
+
+// counter returns a counter of the request path.
+func (s *system) counter(name string) int64 {
+	c, ok := s.metrics.Get(name).(metrics.Counter)
+	if !ok {
+		return 0
+	}
+	return c.Count()
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 500 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the condition did not come true in 5 s")
+}
