--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,6 +40,8 @@
 	// TimeSinceStoreReply returns the time since the configuration store last replied to this daemon or to another live
 	// daemon.
 	TimeSinceStoreReply() time.Duration
+	// Behind reports whether another daemon has a newer revision of the store.
+	Behind() bool
 	// Self returns the daemon's identity and incarnation.
 	Self() (*peer.Identity, uint64)
 	// Schedulers returns the daemons that may place requests, in order of preference.
@@ -147,7 +149,10 @@
 	defer s.mu.Unlock()
 	s.placer.HandleReport(now, r, r.Scheduler == s.selfKey())
 	for _, c := range r.Crashes {
-		s.suspects.Add(now, poison.Fingerprint(c.Request), c.Endpoint, crashID(c.Endpoint, c.Id))
+		if s.suspects.Add(now, poison.Fingerprint(c.Request), c.Endpoint, crashID(c.Endpoint, c.Id)) {
+			// In a large fleet daemons report only to some others, so those report the crash to the rest.
+			s.crashes = append(s.crashes, c)
+		}
 	}
 }
 
--- a/internal/entry/entrytest/entrytest.go
+++ b/internal/entry/entrytest/entrytest.go
@@ -18,6 +18,8 @@
 	Current *fleet.View
 	// Age is returned by TimeSinceStoreReply.
 	Age time.Duration
+	// Outdated is returned by Behind.
+	Outdated bool
 	// Members are returned by Schedulers.
 	Members []*fleet.Member
 	// OnSend, if not nil, is called with each datagram that is sent.
@@ -42,6 +44,9 @@
 // TimeSinceStoreReply implements entry.Fleet.
 func (f *Fleet) TimeSinceStoreReply() time.Duration { return f.Age }
 
+// Behind implements entry.Fleet.
+func (f *Fleet) Behind() bool { return f.Outdated }
+
 // Self implements entry.Fleet.
 func (f *Fleet) Self() (*peer.Identity, uint64) {
 	return &peer.Identity{Daemon: "self", ReportAddress: "127.0.0.1:1"}, 1
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -173,7 +173,7 @@
 // refuseUnknown returns the reply to a request whose route or API key is not in the routing table. If the table may
 // be out of date, the reply is a retryable 503 with staleReason, because a newer table might accept the request.
 func (s *Server) refuseUnknown(status int, reason, staleReason Reason) *reply {
-	if s.fleet.TimeSinceStoreReply() > tableStaleAfter {
+	if s.fleet.TimeSinceStoreReply() > tableStaleAfter || s.fleet.Behind() {
 		return notRun(staleReason, startRetryAfter)
 	}
 	return &reply{status: status, reason: reason}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,6 +31,13 @@
 	ForgetDaemon(daemon string)
 }
 
+// DatagramSocket sends and receives datagrams. It is implemented by net.UDPConn.
+type DatagramSocket interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
 // Options configures a Fleet.
 type Options struct {
 	Self  *peer.Identity
@@ -43,7 +50,9 @@
 	DrainBound time.Duration
 	// MinLeaseTTL is the shortest TTL that the store grants to a lease.
 	MinLeaseTTL time.Duration
-	Reporter    Reporter
+	// Socket is used for reports and scheduling messages. If it is nil, New binds the report address of Self.
+	Socket   DatagramSocket
+	Reporter Reporter
 	// OnViewChange is called with each new view. Calls are serialized.
 	OnViewChange func(*View)
 	Log          hclog.Logger
@@ -56,7 +65,7 @@
 	opts          Options
 	incarnation   uint64
 	view          atomic.Pointer[View]
-	socket        *net.UDPConn
+	socket        DatagramSocket
 	reportPending chan struct{}
 
 	// publishMu serializes updates of view and calls of OnViewChange.
@@ -67,11 +76,8 @@
 	members        *Members
 	selfState      peer.DaemonState
 	reportSequence uint64
-	silentDaemons  map[string]bool
 	// recentChanges holds recently changed entries, which reports include until they expire.
 	recentChanges []recentChange
-	// registeredDaemons holds the daemons that had a key in the last listing of the store.
-	registeredDaemons map[string]bool
 	// lastStoreReply is when the store last replied. storeFailing is set when the last call to it failed.
 	lastStoreReply time.Time
 	storeFailing   bool
@@ -80,21 +86,24 @@
 	readRevision int64
 	pulling      bool
 	nextPullAt   time.Time
+	pullTimeout  time.Duration
 }
 
-// New returns a Fleet with an empty view. It binds the UDP socket for reports and returns an error if that fails.
+// New returns a Fleet with an empty view. It returns an error if the report address cannot be bound.
 func New(opts Options) (*Fleet, error) {
-	address, err := net.ResolveUDPAddr("udp4", opts.Self.ReportAddress)
-	if err != nil {
-		return nil, err
-	}
-	socket, err := net.ListenUDP("udp4", address)
-	if err != nil {
-		return nil, err
+	if opts.Socket == nil {
+		address, err := net.ResolveUDPAddr("udp4", opts.Self.ReportAddress)
+		if err != nil {
+			return nil, err
+		}
+		if opts.Socket, err = net.ListenUDP("udp4", address); err != nil {
+			return nil, err
+		}
 	}
 	f := &Fleet{
-		opts: opts, incarnation: uint64(time.Now().UnixNano()), socket: socket, reportPending: make(chan struct{}, 1),
-		members: NewMembers(opts.Self), selfState: peer.DaemonState_DAEMON_STATE_STARTING, silentDaemons: map[string]bool{},
+		opts: opts, incarnation: uint64(time.Now().UnixNano()), socket: opts.Socket, reportPending: make(chan struct{}, 1),
+		members: NewMembers(opts.Self), selfState: peer.DaemonState_DAEMON_STATE_STARTING,
+		pullTimeout: minPullTimeout,
 	}
 	f.state = NewState(opts.Codec, func(key string, err error) {
 		f.incCounter("chivewind_store_rejected_values_total")
@@ -114,6 +123,7 @@
 func (f *Fleet) Start(ctx context.Context) {
 	go f.receiveLoop()
 	go f.reportLoop(ctx)
+	go f.rosterLoop(ctx)
 	go f.replicateStore(ctx)
 	go f.runAntiEntropy(ctx)
 	go f.keepRegistered(ctx)
@@ -192,12 +202,21 @@
 	return now.Sub(lastStoreReply)
 }
 
-// updateState runs update and publishes a new view if update reports a change.
+// Behind reports whether another daemon has reported a newer revision of the store than this daemon's.
+func (f *Fleet) Behind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members.newestRevision > f.state.Revision()
+}
+
+// updateState runs update and publishes a new view if update reports a change. Reports then include what has changed,
+// and a watcher sends one immediately.
 func (f *Fleet) updateState(update func(now time.Time, s *State) bool) {
 	f.publishMu.Lock()
 	defer f.publishMu.Unlock()
 	now := time.Now()
 	f.mu.Lock()
+	revision, tableRevision := f.state.Revision(), f.state.TableRevision()
 	changed := update(now, f.state)
 	var view *View
 	if changed {
@@ -207,16 +226,20 @@
 			time.AfterFunc(graceEnd.Sub(now), func() { f.updateState(func(time.Time, *State) bool { return true }) })
 		}
 	}
+	// Under the same lock as the update, so that no report carries the new revision without the entries.
+	advanced := f.state.Revision() > revision
+	if advanced && f.members.ForwardsChanges(now, watcherMaxAge) {
+		f.addRecentChange(now, revision, tableRevision)
+	}
+	announce := advanced && f.members.MustWatch(now, watcherMaxAge)
 	f.mu.Unlock()
-	if view == nil {
-		return
+	if view != nil {
+		f.logViewChange(f.view.Load(), view)
+		f.view.Store(view)
+		f.opts.OnViewChange(view)
 	}
-	previous := f.view.Load()
-	f.logViewChange(previous, view)
-	f.view.Store(view)
-	f.opts.OnViewChange(view)
-	if view.Revision > previous.Revision {
-		f.announceChanges(previous.Revision)
+	if announce {
+		f.sendReports(heartbeatAudience, false)
 	}
 }
 
@@ -237,22 +260,20 @@
 	}
 }
 
-// updateDaemons replaces the registered daemons with those of a listing and records their addresses.
+// updateDaemons records the addresses of the daemons in a listing.
 func (f *Fleet) updateDaemons(listed []platform.KeyValue) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.registeredDaemons = map[string]bool{}
+	now := time.Now()
 	for _, kv := range listed {
-		name, ok := strings.CutPrefix(kv.Key, f.opts.Codec.DaemonPrefix)
-		if !ok {
+		if !strings.HasPrefix(kv.Key, f.opts.Codec.DaemonPrefix) {
 			continue
 		}
-		f.registeredDaemons[name] = true
 		id := &peer.Identity{}
 		if err := proto.Unmarshal(kv.Value, id); err != nil {
 			f.opts.Log.Warn("daemon key with malformed value ignored", "key", kv.Key, "error", err)
 			continue
 		}
-		f.members.SetIdentity(id)
+		f.members.LearnIdentity(now, id)
 	}
 }
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -20,7 +20,7 @@
 	maxRetryDelay = 600 * time.Millisecond
 	// maxRetriesPerSecond is the combined rate of retries by all daemons that are not watchers while the store is
 	// unavailable.
-	maxRetriesPerSecond = 25
+	maxRetriesPerSecond = 10
 	// outageThreshold is the time without a reply from the store after which leases of endpoints may have expired:
 	// endpoints renew them about once a second, and three missed renewals end a lease.
 	outageThreshold = 2 * time.Second
@@ -29,31 +29,43 @@
 	watcherMaxAge = 3 * time.Second
 	// watchCheckInterval is how often a daemon that does not watch checks whether it must.
 	watchCheckInterval = 200 * time.Millisecond
-	// startupReportWait is how long a starting daemon waits for reports of other daemons before it may watch the
-	// store.
-	startupReportWait = 700 * time.Millisecond
+	// peerStateWait is how long a starting daemon waits for the state of another daemon before it lists the store.
+	// Seeds do not wait.
+	peerStateWait = 1500 * time.Millisecond
+	// relayStartupWait is how long a starting daemon waits for reports of others before it watches the store as a relay,
+	// and startupReportWait how long any other waits for a report of a relay that watches it.
+	relayStartupWait  = 700 * time.Millisecond
+	startupReportWait = 4 * time.Second
+	// startupCheckInterval is how often a starting daemon checks whether it has received the state.
+	startupCheckInterval = 50 * time.Millisecond
 	// leaseTTL is the TTL of the lease on a daemon's key, and leaseRenewInterval the time between renewals. The TTL
-	// can be long, because daemons rely on keys only to find others when they reach none of their seeds, and to
-	// keep a silent daemon as a member while it is registered.
+	// can be long, because daemons rely on keys only to find others when they reach none of their seeds.
 	leaseTTL           = 60 * time.Second
 	leaseRenewInterval = 20 * time.Second
+	// registerDelay is the time after the start at which a daemon knows enough others to decide whether it must have a
+	// key, and registerCheckInterval the time between later checks.
+	registerDelay         = 4 * time.Second
+	registerCheckInterval = 5 * time.Second
 	// isolatedListInterval is the minimum time between listings of the store by a daemon that receives no reports.
 	isolatedListInterval = 5 * time.Second
 )
 
-// replicateStore replicates the store into the state until ctx is canceled. It lists all keys, then watches from the
-// revision of the listing while this daemon is responsible for watching, and lists again if that revision has been
-// compacted.
+// replicateStore replicates the store into the state until ctx is canceled. It gets the state from another daemon or
+// lists all keys, then watches while this daemon is responsible for watching. It lists the keys again if the revision
+// from which it watches has been compacted.
 func (f *Fleet) replicateStore(ctx context.Context) {
 	delay := minRetryDelay
-	hasListing := false
+	hasListing := f.awaitPeerState(ctx)
+	if hasListing {
+		f.awaitWatchedStore(ctx)
+	}
 	for ctx.Err() == nil {
 		var err error
 		switch {
 		case !hasListing:
 			if err = f.listStore(ctx); err == nil {
 				hasListing = true
-				sleepContext(ctx, startupReportWait)
+				f.awaitWatchedStore(ctx)
 			}
 		case f.mustWatch():
 			err = f.watchStore(ctx)
@@ -73,6 +85,35 @@
 	}
 }
 
+// awaitPeerState waits for up to peerStateWait until another daemon has sent the state, and reports whether it has.
+func (f *Fleet) awaitPeerState(ctx context.Context) bool {
+	if len(f.opts.Seeds) == 0 || slices.Contains(f.opts.Seeds, f.opts.Self.ControlAddress) {
+		return false
+	}
+	for deadline := time.Now().Add(peerStateWait); ctx.Err() == nil && time.Now().Before(deadline); {
+		if f.View().Table != nil {
+			return true
+		}
+		sleepContext(ctx, startupCheckInterval)
+	}
+	return false
+}
+
+// awaitWatchedStore waits until a relay watches the store or this daemon must do so as a relay, for up to
+// startupReportWait.
+func (f *Fleet) awaitWatchedStore(ctx context.Context) {
+	start := time.Now()
+	for ctx.Err() == nil && time.Since(start) < startupReportWait {
+		f.mu.Lock()
+		relay, watched := f.members.IsRelay(), f.members.StoreIsWatched(time.Now(), watcherMaxAge)
+		f.mu.Unlock()
+		if watched || (relay && time.Since(start) >= relayStartupWait) {
+			return
+		}
+		sleepContext(ctx, startupCheckInterval)
+	}
+}
+
 func (f *Fleet) mustWatch() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -85,7 +126,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	if f.state.table == nil || slices.Contains(f.members.Watchers(now), f.opts.Self.Daemon) {
+	if f.state.table == nil || f.members.IsRelay() {
 		return delay
 	}
 	return max(delay, time.Duration(len(f.members.Live(now)))*time.Second/maxRetriesPerSecond)
@@ -101,7 +142,7 @@
 	if first {
 		f.opts.Log.Warn("the store gave no answer", "error", err)
 		// Tell the other daemons immediately that they cannot rely on this daemon's watch.
-		f.sendReports(true, false)
+		f.sendReports(heartbeatAudience, false)
 	}
 }
 
@@ -175,7 +216,7 @@
 			value = []byte{}
 		}
 		if s.relevant(e.KV.Key) {
-			changed = s.Apply(now, e.KV.Key, e.KV.ModRevision, value) || changed
+			changed = s.ApplyFromStore(now, e.KV.Key, e.KV.ModRevision, value) || changed
 			s.Advance(e.KV.ModRevision)
 		}
 	}
@@ -194,23 +235,18 @@
 	f.lastStoreReply, f.storeFailing = now, false
 }
 
-// keepRegistered keeps this daemon's key in the store under a lease, so that daemons that start later can find it.
-// It revokes the lease when ctx is canceled.
+// keepRegistered keeps a key of this daemon in the store under a lease while it is a registrant, so that daemons that
+// start later can find it. It revokes the lease when ctx is canceled.
 func (f *Fleet) keepRegistered(ctx context.Context) {
 	var lease platform.LeaseID
+	sleepContext(ctx, registerDelay)
 	for ctx.Err() == nil {
-		pause := leaseRenewInterval
-		if lease != 0 {
-			if _, err := f.opts.KV.KeepAlive(ctx, lease); errors.Is(err, platform.ErrLeaseNotFound) {
-				lease = 0
-			}
-		}
-		if lease == 0 {
-			var err error
-			if lease, err = f.writeOwnKey(ctx); err != nil {
-				f.opts.Log.Debug("daemon key could not be written", "error", err)
-				pause = outageThreshold
-			}
+		pause := registerCheckInterval
+		if f.isRegistrant() {
+			pause = f.register(ctx, &lease)
+		} else {
+			// The lease of a former registrant ends by itself.
+			lease = 0
 		}
 		sleepContext(ctx, pause)
 	}
@@ -223,6 +259,30 @@
 	}
 }
 
+func (f *Fleet) isRegistrant() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members.IsRegistrant()
+}
+
+// register renews the lease of this daemon's key, or writes the key under a new lease if there is none. It returns the
+// time until the next renewal or attempt.
+func (f *Fleet) register(ctx context.Context, lease *platform.LeaseID) time.Duration {
+	if *lease != 0 {
+		if _, err := f.opts.KV.KeepAlive(ctx, *lease); errors.Is(err, platform.ErrLeaseNotFound) {
+			*lease = 0
+		}
+	}
+	if *lease == 0 {
+		var err error
+		if *lease, err = f.writeOwnKey(ctx); err != nil {
+			f.opts.Log.Debug("daemon key could not be written", "error", err)
+			return outageThreshold
+		}
+	}
+	return leaseRenewInterval
+}
+
 func (f *Fleet) writeOwnKey(ctx context.Context) (platform.LeaseID, error) {
 	value, err := proto.Marshal(f.opts.Self)
 	if err != nil {
@@ -240,42 +300,59 @@
 }
 
 // runAntiEntropy pulls the state, several times at startup from the first seed that replies, and then periodically
-// from a random live daemon, so that daemons discover each other and recover from lost messages. A daemon without live
+// from a random live daemon, so that daemons discover each other and recover from lost messages. From time to time it
+// tries a seed or a removed daemon instead, because a healed partition may have left two fleets. A daemon without live
 // peers keeps trying all seeds and lists the store from time to time.
 func (f *Fleet) runAntiEntropy(ctx context.Context) {
 	for _, pause := range []time.Duration{0, 300 * time.Millisecond, time.Second, 2 * time.Second} {
 		sleepContext(ctx, pause)
-		for _, address := range f.opts.Seeds {
-			if address != f.opts.Self.ControlAddress && ctx.Err() == nil && f.pull(ctx, &peer.Identity{ControlAddress: address}) {
-				break
-			}
-		}
+		f.pullFromSeeds(ctx, 1)
 	}
-	const interval = 5 * time.Second
+	const (
+		interval = 5 * time.Second
+		// outsiderRounds is the number of rounds of which one tries a daemon that may not be live.
+		outsiderRounds = 4
+	)
 	lastList := time.Now()
-	for ctx.Err() == nil {
+	for round := 1; ctx.Err() == nil; round++ {
 		sleepContext(ctx, interval)
 		f.mu.Lock()
-		live := f.members.Live(time.Now())
+		live, outsiders := f.members.Live(time.Now()), append(f.members.Removed(), f.opts.Seeds...)
 		f.mu.Unlock()
-		if len(live) > 0 {
+		switch {
+		case len(live) == 0:
+			f.pullFromSeeds(ctx, len(f.opts.Seeds))
+			if time.Since(lastList) >= isolatedListInterval {
+				lastList = time.Now()
+				if err := f.listStore(ctx); err != nil {
+					f.recordStoreFailure(err)
+				}
+			}
+		case round%outsiderRounds == 0 && len(outsiders) > 0:
+			f.pullFrom(ctx, outsiders[rand.IntN(len(outsiders))])
+		default:
 			f.pull(ctx, live[rand.IntN(len(live))].Identity)
-			continue
 		}
-		for _, address := range f.opts.Seeds {
-			if address != f.opts.Self.ControlAddress {
-				f.pull(ctx, &peer.Identity{ControlAddress: address})
-			}
+	}
+}
+
+// pullFromSeeds pulls the state from seeds in random order until the given number of them have replied.
+func (f *Fleet) pullFromSeeds(ctx context.Context, replies int) {
+	for _, n := range rand.Perm(len(f.opts.Seeds)) {
+		if replies == 0 || ctx.Err() != nil {
+			return
 		}
-		if time.Since(lastList) >= isolatedListInterval {
-			lastList = time.Now()
-			if err := f.listStore(ctx); err != nil {
-				f.recordStoreFailure(err)
-			}
+		if f.pullFrom(ctx, f.opts.Seeds[n]) {
+			replies--
 		}
 	}
 }
 
+// pullFrom pulls the state from the daemon with a control address, unless it is this one.
+func (f *Fleet) pullFrom(ctx context.Context, address string) bool {
+	return address != f.opts.Self.ControlAddress && f.pull(ctx, &peer.Identity{ControlAddress: address})
+}
+
 func sleepContext(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -10,21 +11,23 @@
 )
 
 const (
-	// baseHeartbeatInterval is the time between heartbeats of daemons in a small fleet, and of watchers in any fleet.
-	baseHeartbeatInterval = 300 * time.Millisecond
-	// maxHeartbeatsPerSecond is the maximum rate of heartbeat datagrams that a daemon sends. Larger fleets use longer
-	// intervals to stay below it.
-	maxHeartbeatsPerSecond = 60
+	// smallFleetHeartbeat is the time between heartbeats in a small fleet, where they go to all other daemons, and
+	// largeFleetHeartbeat that in a large one, where they go to the relays, and from them to all.
+	smallFleetHeartbeat = 300 * time.Millisecond
+	largeFleetHeartbeat = 400 * time.Millisecond
 	// missedHeartbeatLimit is the number of heartbeat intervals without a report after which a daemon is no longer
 	// live. Links may lose several percent of the packets, so a few consecutive heartbeats may be missing.
 	missedHeartbeatLimit = 4
+	// maxSmallFleetPeers is the maximum number of other daemons in a small fleet. There, full reports go to all
+	// daemons, and all daemons forward changes of the store.
+	maxSmallFleetPeers = 8
+	// newMemberGrace is how long a daemon that is new to this one counts as live in the choice of the relays before it
+	// has been heard.
+	newMemberGrace = 5 * time.Second
+	// identifyTime is how long the reports of a daemon include its addresses after a change of the relays.
+	identifyTime = 3 * time.Second
 )
 
-// heartbeatInterval returns the interval for a fleet of n daemons.
-func heartbeatInterval(n int) time.Duration {
-	return max(baseHeartbeatInterval, time.Duration(n)*time.Second/maxHeartbeatsPerSecond)
-}
-
 // Member is the last known state of another entry daemon.
 type Member struct {
 	Identity    *peer.Identity
@@ -33,6 +36,21 @@
 	State       peer.DaemonState
 	Revision    int64
 	LastReport  time.Time
+	// learnedAt is when this daemon first learned of the member, and lastLive when the member was last seen to be live.
+	learnedAt time.Time
+	lastLive  time.Time
+	// listed is set when the member is on a roster that counts, see updateListed.
+	listed bool
+	// silent is set when Silent has returned the member and it has not been live since.
+	silent bool
+	// relaySince is when the member became a relay, as far as this daemon knows; zero if it is none. relayFailed is when
+	// it last lost the role because it was not heard.
+	relaySince  time.Time
+	relayFailed time.Time
+	// nameHash is the rendezvous hash of the member's name.
+	nameHash rendezvous.Hash
+	// digest is the member's contribution to the digest of its bucket.
+	digest uint64
 	// LastStoreReply is when the store last replied to the member, according to its last report.
 	LastStoreReply time.Time
 }
@@ -41,49 +59,106 @@
 type Members struct {
 	self    *peer.Identity
 	members map[string]*Member
+	// removed holds the daemons that were removed because they were silent. What others say of them is ignored, so that
+	// daemons do not learn of a dead one from each other again and again.
+	removed map[string]removedMember
+	digests memberDigests
+	// rosters holds the known roster of each relay.
+	rosters map[string]*roster
+	// relays are the names of the relays, most preferred first, which have been the same since relaysChangedAt.
+	// own is the roster that this daemon sends as a relay since ownSince; nil if it is none. ownChanges are its latest
+	// changes.
+	relays          []string
+	relaysChangedAt time.Time
+	own             *roster
+	ownSince        time.Time
+	ownChanges      []rosterChange
+	// ownVersion counts the changes of the own roster.
+	ownVersion int
+	schedulers schedulerOrder
+	// newestRevision is the newest revision that any daemon has reported.
+	newestRevision int64
+}
+
+// removedMember is a daemon that was removed from the members.
+type removedMember struct {
+	identity *peer.Identity
+	at       time.Time
 }
 
 // NewMembers returns an empty set of members for the daemon self.
 func NewMembers(self *peer.Identity) *Members {
-	return &Members{self: self, members: map[string]*Member{}}
+	m := &Members{self: self, members: map[string]*Member{}, removed: map[string]removedMember{}, rosters: map[string]*roster{}}
+	m.digests.toggle(self.Daemon, identityDigest(self))
+	return m
 }
 
-// SetIdentity records the addresses of a daemon, for example from its key in the store. The daemon is considered live
-// only after a report.
-func (m *Members) SetIdentity(id *peer.Identity) {
+// SetIdentity records the addresses of a daemon, as sent by itself. The daemon is considered live only after a report.
+func (m *Members) SetIdentity(now time.Time, id *peer.Identity) {
 	if id == nil || id.Daemon == "" || id.Daemon == m.self.Daemon || id.ReportAddress == "" {
 		return
 	}
-	if known := m.members[id.Daemon]; known != nil {
-		known.Identity = id
-		return
+	delete(m.removed, id.Daemon)
+	known := m.members[id.Daemon]
+	if known == nil {
+		known = &Member{learnedAt: now, nameHash: rendezvous.HashString(id.Daemon)}
+		m.members[id.Daemon] = known
+	}
+	digest := identityDigest(id)
+	m.digests.toggle(id.Daemon, known.digest^digest)
+	known.Identity, known.digest = id, digest
+}
+
+// LearnIdentity records the addresses of a daemon that another source states: another daemon or the store. It ignores
+// daemons that were removed recently.
+func (m *Members) LearnIdentity(now time.Time, id *peer.Identity) {
+	if _, removed := m.removed[id.GetDaemon()]; !removed {
+		m.SetIdentity(now, id)
 	}
-	m.members[id.Daemon] = &Member{Identity: id}
 }
 
 // RecordReport records a report and returns its sender. It returns nil for a report that is not newer than the last
 // one, and if the sender's addresses are not known yet.
 func (m *Members) RecordReport(now time.Time, r *peer.Report) *Member {
-	m.SetIdentity(r.Identity)
+	m.SetIdentity(now, r.Identity)
 	known := m.members[r.Daemon]
 	if known == nil || r.Incarnation < known.Incarnation ||
 		(r.Incarnation == known.Incarnation && r.Sequence <= known.Sequence) {
 		return nil
 	}
-	known.Incarnation, known.Sequence = r.Incarnation, r.Sequence
-	known.State, known.Revision, known.LastReport = r.State, r.Revision, now
+	m.setState(known, r.Incarnation, r.State)
+	known.Sequence, known.Revision, known.LastReport = r.Sequence, r.Revision, now
 	known.LastStoreReply = now.Add(-time.Duration(r.StoreAgeMs) * time.Millisecond)
+	m.newestRevision = max(m.newestRevision, r.Revision)
 	return known
 }
 
-// silenceTimeout returns the time without a report after which a daemon is no longer live.
-func (m *Members) silenceTimeout() time.Duration {
-	return missedHeartbeatLimit * heartbeatInterval(len(m.members)+1)
+// isLarge reports whether the fleet has relays.
+func (m *Members) isLarge() bool { return len(m.members) > maxSmallFleetPeers }
+
+// HeartbeatInterval returns the time between the heartbeats of a daemon.
+func (m *Members) HeartbeatInterval() time.Duration {
+	if m.isLarge() {
+		return largeFleetHeartbeat
+	}
+	return smallFleetHeartbeat
+}
+
+// silenceTimeout returns the time without a report after which a daemon is no longer heard.
+func (m *Members) silenceTimeout() time.Duration { return missedHeartbeatLimit * m.HeartbeatInterval() }
+
+// heardDirectly reports whether the member has sent this daemon a report within the last silenceTimeout.
+func (m *Members) heardDirectly(now time.Time, member *Member) bool {
+	return !member.LastReport.IsZero() && now.Sub(member.LastReport) < m.silenceTimeout()
 }
 
-// isLive reports whether the member has sent a report within the last silenceTimeout.
+// isLive reports whether this daemon or a relay hears the member.
 func (m *Members) isLive(now time.Time, member *Member) bool {
-	return !member.LastReport.IsZero() && now.Sub(member.LastReport) < m.silenceTimeout()
+	if m.heardDirectly(now, member) {
+		return true
+	}
+	// A relay sends to all, so what others say of it does not count.
+	return member.relaySince.IsZero() && member.listed && m.isLarge()
 }
 
 // Live returns the other daemons that are live, sorted by name.
@@ -98,70 +173,189 @@
 	return live
 }
 
-// watcherCount is the number of daemons that watch the store for the fleet. Not all daemons watch it, because every
+// relayCount is the number of relays, which watch the store for the fleet. Not all daemons watch it, because every
 // watch makes a call to the store for each change of a watched key, and the store's limit on the rate of calls grows
 // more slowly than the fleet.
-const watcherCount = 3
+const relayCount = 3
 
-// Watchers returns the daemons that watch the store, which are those with the highest rendezvous weight. Daemons with
-// the same live members choose the same watchers.
-func (m *Members) Watchers(now time.Time) []string {
-	candidates := []string{m.self.Daemon}
-	for _, member := range m.Live(now) {
-		if member.State != peer.DaemonState_DAEMON_STATE_LEAVING {
-			candidates = append(candidates, member.Identity.Daemon)
+// registrantCount is the number of daemons that keep a key in the store. A daemon that reaches none of its seeds needs
+// only some of the others, from which it learns of the rest.
+const registrantCount = 8
+
+// UpdateRelays chooses the relays, which are the daemons that watch the store and, in a large fleet, tell all others
+// which daemons are live. They are those with the highest capacity, since they send to all others, and among equals
+// those with the highest rendezvous weight. Daemons with the same live members choose the same relays. A relay that is
+// not heard within silenceTimeout is replaced, until it is heard again.
+func (m *Members) UpdateRelays(now time.Time) {
+	m.updateListed(now)
+	var candidates []*Member
+	for _, member := range m.members {
+		live := m.isLive(now, member)
+		if live {
+			member.lastLive = now
+		} else if !member.relaySince.IsZero() && now.Sub(member.relaySince) >= m.silenceTimeout() {
+			member.relayFailed = now
+		}
+		if (live || m.presumedLive(now, member)) && (member.relayFailed.IsZero() || member.LastReport.After(member.relayFailed)) {
+			candidates = append(candidates, member)
 		}
 	}
-	top := rendezvous.NewSet(candidates).Top(rendezvous.HashString("watch"), watcherCount)
-	watchers := make([]string, len(top))
-	for i, n := range top {
-		watchers[i] = candidates[n]
+	relays := m.top(candidates, "watch", true, relayCount)
+	if !slices.Equal(relays, m.relays) {
+		m.relays, m.relaysChangedAt = relays, now
+	}
+	for _, member := range m.members {
+		switch relay := slices.Contains(m.relays, member.Identity.Daemon); {
+		case !relay:
+			member.relaySince = time.Time{}
+		case member.relaySince.IsZero():
+			member.relaySince = now
+		}
 	}
-	return watchers
 }
 
-// MustWatch reports whether this daemon must watch the store: it is one of the watchers, or there is no other watcher
-// whose last report and last reply from the store are both more recent than maxAge.
-func (m *Members) MustWatch(now time.Time, maxAge time.Duration) bool {
-	fresh := false
-	for _, id := range m.Watchers(now) {
-		if id == m.self.Daemon {
-			return true
-		}
-		if member := m.members[id]; member != nil && now.Sub(member.LastStoreReply) < maxAge && now.Sub(member.LastReport) < maxAge {
-			fresh = true
+// presumedLive reports whether a member that is not live counts as live in the choice of the relays: it is new to this
+// daemon, or it is a new relay.
+func (m *Members) presumedLive(now time.Time, member *Member) bool {
+	if !member.relaySince.IsZero() {
+		return now.Sub(member.relaySince) < m.silenceTimeout()
+	}
+	return m.isLarge() && member.LastReport.IsZero() && member.lastLive.IsZero() && now.Sub(member.learnedAt) < newMemberGrace
+}
+
+// MustIdentify reports whether a relay may not yet know this daemon.
+func (m *Members) MustIdentify(now time.Time) bool { return now.Sub(m.relaysChangedAt) < identifyTime }
+
+// IsRelay reports whether this daemon is a relay.
+func (m *Members) IsRelay() bool { return slices.Contains(m.relays, m.self.Daemon) }
+
+// IsRegistrant reports whether this daemon must keep a key in the store. It considers all members, because a daemon that
+// has just started has not yet received a report from each.
+func (m *Members) IsRegistrant() bool {
+	return slices.Contains(m.top(slices.Collect(maps.Values(m.members)), "register", false, registrantCount), m.self.Daemon)
+}
+
+// top returns the first n of this daemon and those of the others that are not leaving, in the order of a role.
+func (m *Members) top(others []*Member, role string, byCapacity bool, n int) []string {
+	candidates := []*Member{{Identity: m.self, nameHash: rendezvous.HashString(m.self.Daemon)}}
+	for _, member := range others {
+		if member.State != peer.DaemonState_DAEMON_STATE_LEAVING {
+			candidates = append(candidates, member)
 		}
 	}
-	return !fresh
+	sortByRole(candidates, role, byCapacity)
+	names := make([]string, min(n, len(candidates)))
+	for i := range names {
+		names[i] = candidates[i].Identity.Daemon
+	}
+	return names
+}
+
+// sortByRole sorts daemons by preference for a role: by capacity, highest first, if byCapacity is set, and among equals
+// by rendezvous weight.
+func sortByRole(members []*Member, role string, byCapacity bool) {
+	key := rendezvous.HashString(role)
+	slices.SortFunc(members, func(a, b *Member) int {
+		if byCapacity && a.Identity.Capacity != b.Identity.Capacity {
+			return cmp.Compare(b.Identity.Capacity, a.Identity.Capacity)
+		}
+		return cmp.Compare(rendezvous.Weight(key, b.nameHash), rendezvous.Weight(key, a.nameHash))
+	})
+}
+
+// StoreIsWatched reports whether a relay other than this daemon has sent a report within maxAge, whose last reply from
+// the store is not older either.
+func (m *Members) StoreIsWatched(now time.Time, maxAge time.Duration) bool {
+	return slices.ContainsFunc(m.relays, func(id string) bool {
+		member := m.members[id]
+		return member != nil && now.Sub(member.LastStoreReply) < maxAge && now.Sub(member.LastReport) < maxAge
+	})
+}
+
+// MustWatch reports whether this daemon must watch the store: it is a relay, or no relay does.
+func (m *Members) MustWatch(now time.Time, maxAge time.Duration) bool {
+	return m.IsRelay() || !m.StoreIsWatched(now, maxAge)
+}
+
+// schedulersMaxAge is how long the order of the schedulers is used again while no daemon changes its state.
+const schedulersMaxAge = 100 * time.Millisecond
+
+// schedulerOrder is a result of Schedulers.
+type schedulerOrder struct {
+	members   []*Member
+	at        time.Time
+	selfReady bool
 }
 
 // Schedulers returns the ready daemons in order of preference as scheduler: by capacity, highest first, and among
-// equals by rendezvous weight. It includes this daemon if selfReady is set.
+// equals by rendezvous weight. It includes this daemon if selfReady is set. The result must not be modified.
 func (m *Members) Schedulers(now time.Time, selfReady bool) []*Member {
-	var ready []*Member
+	if o := m.schedulers; o.members != nil && o.selfReady == selfReady && now.Sub(o.at) < schedulersMaxAge {
+		return o.members
+	}
+	ready := []*Member{}
 	if selfReady {
-		ready = append(ready, &Member{Identity: m.self, State: peer.DaemonState_DAEMON_STATE_READY})
+		ready = append(ready, &Member{Identity: m.self, State: peer.DaemonState_DAEMON_STATE_READY, nameHash: rendezvous.HashString(m.self.Daemon)})
 	}
-	for _, member := range m.Live(now) {
-		if member.State == peer.DaemonState_DAEMON_STATE_READY {
+	for _, member := range m.members {
+		if member.State == peer.DaemonState_DAEMON_STATE_READY && m.isLive(now, member) {
 			ready = append(ready, member)
 		}
 	}
-	key := rendezvous.HashString("scheduler")
-	slices.SortFunc(ready, func(a, b *Member) int {
-		return cmp.Or(
-			cmp.Compare(b.Identity.Capacity, a.Identity.Capacity),
-			cmp.Compare(rendezvous.Weight(key, rendezvous.HashString(b.Identity.Daemon)), rendezvous.Weight(key, rendezvous.HashString(a.Identity.Daemon))),
-		)
-	})
+	sortByRole(ready, "scheduler", true)
+	m.schedulers = schedulerOrder{members: ready, at: now, selfReady: selfReady}
 	return ready
 }
 
+// setState sets the state of a member, in an incarnation of it.
+func (m *Members) setState(member *Member, incarnation uint64, state peer.DaemonState) {
+	if member.Incarnation != incarnation || member.State != state {
+		member.Incarnation, member.State = incarnation, state
+		m.schedulers = schedulerOrder{}
+	}
+}
+
 // ForwardsChanges reports whether this daemon's reports include recently changed entries. In a large fleet only daemons
 // that must watch the store include them; otherwise each change would be sent between every pair of daemons. Daemons
 // that miss a change notice it by the revision in a report and pull it.
 func (m *Members) ForwardsChanges(now time.Time, maxAge time.Duration) bool {
-	return len(m.members) <= maxSmallFleetPeers || m.MustWatch(now, maxAge)
+	return !m.isLarge() || m.MustWatch(now, maxAge)
+}
+
+// NewerThan returns the live daemons whose last report had a revision newer than the given one.
+func (m *Members) NewerThan(now time.Time, revision int64) []*peer.Identity {
+	var ids []*peer.Identity
+	for _, member := range m.members {
+		if member.Revision > revision && m.isLive(now, member) {
+			ids = append(ids, member.Identity)
+		}
+	}
+	return ids
+}
+
+// RelayIdentities returns the identities of the other daemons that are relays.
+func (m *Members) RelayIdentities() []*peer.Identity {
+	var ids []*peer.Identity
+	for _, id := range m.relays {
+		if member := m.members[id]; member != nil {
+			ids = append(ids, member.Identity)
+		}
+	}
+	return ids
+}
+
+// Silent returns the daemons that were live, as of UpdateRelays, and have not been for the given time. It returns each
+// one once.
+func (m *Members) Silent(now time.Time, silence time.Duration) []string {
+	var silent []string
+	for id, member := range m.members {
+		isSilent := !member.lastLive.IsZero() && now.Sub(member.lastLive) > silence
+		if isSilent && !member.silent {
+			silent = append(silent, id)
+		}
+		member.silent = isSilent
+	}
+	return silent
 }
 
 // Identities returns the identities of all known daemons, whether live or not, sorted by name.
@@ -174,16 +368,37 @@
 	return ids
 }
 
-// RemoveSilent removes daemons that are not registered in the store and have sent no report for the given time, or none
-// at all.
-func (m *Members) RemoveSilent(now time.Time, silence time.Duration, registered func(daemon string) bool) {
+// removedRetention is how long removed daemons are remembered.
+const removedRetention = 5 * time.Minute
+
+// RemoveSilent removes daemons that have not been live, as of UpdateRelays, for the given time and were not learned of
+// within it.
+func (m *Members) RemoveSilent(now time.Time, silence time.Duration) {
 	for id, member := range m.members {
-		if now.Sub(member.LastReport) > silence && !registered(id) {
+		if now.Sub(member.lastLive) > silence && now.Sub(member.learnedAt) > silence {
+			m.digests.toggle(id, member.digest)
+			m.removed[id] = removedMember{identity: member.Identity, at: now}
 			delete(m.members, id)
+			delete(m.rosters, id)
+		}
+	}
+	for id, r := range m.removed {
+		if now.Sub(r.at) > removedRetention {
+			delete(m.removed, id)
 		}
 	}
 }
 
+// Removed returns the control addresses of the daemons that were removed recently. They may be back, behind a
+// partition that has healed.
+func (m *Members) Removed() []string {
+	addresses := make([]string, 0, len(m.removed))
+	for _, r := range m.removed {
+		addresses = append(addresses, r.identity.ControlAddress)
+	}
+	return addresses
+}
+
 // minEntryAddresses is the minimum number of addresses returned to callers if the fleet has that many, so that a
 // caller can fail over immediately.
 const minEntryAddresses = 2
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -20,6 +20,7 @@
 	for _, id := range others {
 		m.RecordReport(at, &peer.Report{Daemon: id.Daemon, Incarnation: 1, Sequence: 1, State: peer.DaemonState_DAEMON_STATE_READY, Identity: id})
 	}
+	m.UpdateRelays(at)
 	return m
 }
 
@@ -88,12 +89,13 @@
 		if m.MustWatch(testTime, watcherMaxAge) {
 			watching++
 		}
+		m.UpdateRelays(testTime.Add(watcherMaxAge))
 		if !m.MustWatch(testTime.Add(watcherMaxAge), watcherMaxAge) {
 			t.Errorf("%s relies on watchers that have sent no report for %s", self.Daemon, watcherMaxAge)
 		}
 	}
-	if watching != watcherCount {
-		t.Errorf("%d daemons watch, want %d", watching, watcherCount)
+	if watching != relayCount {
+		t.Errorf("%d daemons watch, want %d", watching, relayCount)
 	}
 	m := membersWithReports(ids[0], testTime, ids[1:]...)
 	for _, id := range ids[1:] {
@@ -110,7 +112,7 @@
 	for _, c := range []struct {
 		size, want int
 		age        time.Duration
-	}{{4, 4, 0}, {maxSmallFleetPeers + 1, maxSmallFleetPeers + 1, 0}, {40, watcherCount, 0}, {40, 40, watcherMaxAge}} {
+	}{{4, 4, 0}, {maxSmallFleetPeers + 1, maxSmallFleetPeers + 1, 0}, {40, relayCount, 0}, {40, 40, watcherMaxAge}} {
 		var ids []*peer.Identity
 		for i := range c.size {
 			ids = append(ids, testIdentity(fmt.Sprintf("d%02d", i), "z"))
@@ -118,6 +120,7 @@
 		forwarding := 0
 		for i, self := range ids {
 			m := membersWithReports(self, testTime, slices.Delete(slices.Clone(ids), i, i+1)...)
+			m.UpdateRelays(testTime.Add(c.age))
 			if m.ForwardsChanges(testTime.Add(c.age), watcherMaxAge) {
 				forwarding++
 			}
--- a/internal/fleet/pull.go
+++ b/internal/fleet/pull.go
@@ -2,22 +2,25 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/chivewind/chivewind/peer"
 )
 
 const (
-	// pullDelay is the delay before a newer revision that a peer has reported is pulled from that peer, so that it can
-	// arrive from the store or in a report first. It is also the minimum time between two such pulls.
+	// pullDelay is the delay before a newer revision that a peer has reported is pulled, so that it can arrive from the
+	// store or in a report first. It is also the minimum time between two such pulls.
 	pullDelay = 150 * time.Millisecond
-	// pullTimeout bounds one pull from a peer.
-	pullTimeout = 700 * time.Millisecond
+	// minPullTimeout and maxPullTimeout bound one pull from a peer. The timeout doubles with each failure in a row, so
+	// that a large table arrives over a slow link.
+	minPullTimeout = 700 * time.Millisecond
+	maxPullTimeout = 6 * time.Second
 )
 
-// schedulePull pulls the state from a peer after pullDelay unless the revision has advanced by then. f.mu must be
-// held.
-func (f *Fleet) schedulePull(now time.Time, from *peer.Identity) {
+// schedulePull pulls the state after pullDelay unless the revision has advanced by then. f.mu must be held.
+func (f *Fleet) schedulePull(now time.Time) {
 	if f.pulling || now.Before(f.nextPullAt) {
 		return
 	}
@@ -26,9 +29,11 @@
 	time.AfterFunc(pullDelay, func() {
 		f.mu.Lock()
 		behind := f.state.Revision() == known
+		sources := f.members.NewerThan(time.Now(), known)
 		f.mu.Unlock()
-		if behind {
-			f.pull(context.Background(), from)
+		if behind && len(sources) > 0 {
+			// Any daemon with the newer state will do. Pulls of the whole fleet must not go to the same one.
+			f.pull(context.Background(), sources[rand.IntN(len(sources))])
 		}
 		f.mu.Lock()
 		f.pulling, f.nextPullAt = false, time.Now().Add(pullDelay)
@@ -36,56 +41,113 @@
 	})
 }
 
-// pull requests the entries that are newer at a peer and applies them. It reports whether the peer replied.
+// pull requests the entries that are newer at a peer and the members that this daemon does not know, and applies them.
+// It reports whether the peer replied.
 func (f *Fleet) pull(ctx context.Context, from *peer.Identity) bool {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	return f.pullWith(ctx, from, false)
+}
+
+// pullRoster pulls as pull does, and also the roster of a relay.
+func (f *Fleet) pullRoster(ctx context.Context, from *peer.Identity) { f.pullWith(ctx, from, true) }
+
+func (f *Fleet) pullWith(ctx context.Context, from *peer.Identity, roster bool) bool {
+	f.mu.Lock()
+	timeout := f.pullTimeout
+	request := &peer.SyncRequest{
+		From: f.opts.Self.Daemon, Members: []*peer.Member{memberFromIdentity(f.opts.Self)}, WantRoster: roster, MemberDigests: slices.Clone(f.members.digests[:]),
+		Versions: []*peer.DocumentVersion{
+			{Name: stateDocument, Version: uint64(f.state.Revision())},
+			{Name: f.opts.Codec.TableKey, Version: uint64(f.state.TableRevision())},
+		},
+	}
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	client, err := f.opts.Peers.Client(ctx, &peer.Member{Id: from.Daemon, PeerAddress: from.ControlAddress})
+	reply, err := f.callSync(ctx, from, request)
+	f.mu.Lock()
+	f.pullTimeout = minPullTimeout
 	if err != nil {
-		f.opts.Log.Debug("peer connection failed", "peer", from.ControlAddress, "error", err)
-		return false
+		f.pullTimeout = min(2*timeout, maxPullTimeout)
 	}
-	f.mu.Lock()
-	since := f.state.Revision()
 	f.mu.Unlock()
-	reply, err := client.Sync(ctx, &peer.SyncRequest{
-		From: f.opts.Self.Daemon, Members: []*peer.Member{memberFromIdentity(f.opts.Self)}, Versions: []*peer.DocumentVersion{{Name: stateDocument, Version: uint64(since)}},
-	})
 	if err != nil {
 		f.incCounter("chivewind_peer_pull_failures_total")
 		f.opts.Log.Debug("state sync with peer failed", "peer", from.ControlAddress, "error", err)
 		return false
 	}
 	f.incCounter("chivewind_peer_pulls_total")
+	f.applyReply(from, reply)
+	return true
+}
+
+// callSync sends a Sync call to a peer. Its error states why there is no usable reply.
+func (f *Fleet) callSync(ctx context.Context, to *peer.Identity, request *peer.SyncRequest) (*peer.SyncReply, error) {
+	client, err := f.opts.Peers.Client(ctx, &peer.Member{Id: to.Daemon, PeerAddress: to.ControlAddress})
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Sync(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return decompressReply(reply)
+}
+
+// applyReply applies the members and entries in the reply of a peer.
+func (f *Fleet) applyReply(from *peer.Identity, reply *peer.SyncReply) {
+	now := time.Now()
 	f.mu.Lock()
 	for _, m := range reply.Members {
-		f.members.SetIdentity(identityFromMember(m))
+		if id := identityFromMember(m); id.ControlAddress == from.ControlAddress {
+			f.members.SetIdentity(now, id)
+		} else {
+			f.members.LearnIdentity(now, id)
+		}
+	}
+	if len(reply.Roster) > 0 {
+		f.members.ReplaceRoster(now, from.Daemon, reply.Roster)
 	}
 	f.mu.Unlock()
 	f.updateState(func(now time.Time, s *State) bool {
-		changed := applyDocuments(now, s, reply.Documents)
+		changed, complete := applyDocuments(now, s, reply.Documents)
 		for _, v := range reply.Versions {
-			if v.Name == stateDocument {
+			if v.Name == stateDocument && complete {
 				s.Advance(int64(v.Version))
 			}
 		}
 		return changed
 	})
-	return true
 }
 
-// applyDocuments applies entries received from another daemon and reports whether the state changed. A peer.Document is
-// the encoding of an Entry; empty content means that the key was removed.
-func applyDocuments(now time.Time, s *State, documents []*peer.Document) bool {
-	changed := false
+// applyDocuments applies entries received from another daemon. It reports whether the state changed and whether all
+// entries could be used.
+func applyDocuments(now time.Time, s *State, documents []*peer.Document) (changed, complete bool) {
+	complete = true
 	for _, d := range documents {
-		value := d.Content
-		if len(value) == 0 {
-			value = nil
-		}
-		changed = s.Apply(now, d.Name, int64(d.Version), value) || changed
+		entryChanged, usable := s.ApplyEntry(now, entryFromDocument(d))
+		changed = changed || entryChanged
+		complete = complete && usable
+	}
+	return changed, complete
+}
+
+// entryFromDocument converts a peer.Document into the Entry that it encodes. Empty content means that the key was
+// removed.
+func entryFromDocument(d *peer.Document) Entry {
+	e := Entry{Key: d.Name, Revision: int64(d.Version), Value: d.Content, Base: int64(d.BaseVersion)}
+	if len(e.Value) == 0 {
+		e.Value = nil
 	}
-	return changed
+	return e
+}
+
+// documentsFromEntries is the inverse of entryFromDocument.
+func documentsFromEntries(entries []Entry) []*peer.Document {
+	documents := make([]*peer.Document, len(entries))
+	for i, e := range entries {
+		documents[i] = &peer.Document{Name: e.Key, Version: uint64(e.Revision), Content: e.Value, BaseVersion: uint64(e.Base)}
+	}
+	return documents
 }
 
 // identityFromMember converts a member of a Sync call into an identity as used in reports.
@@ -107,26 +169,45 @@
 // stateDocument is the document name under which a Sync call carries the revision of the whole state.
 const stateDocument = "state"
 
-// Sync implements the Sync call of the peer service: it returns the entries that are newer than the caller's
-// revision, and the known members. Empty content means that the key was removed.
+// Sync implements the Sync call of the peer service: it returns the entries that are newer than the caller's state, and
+// the members that the caller may not know. Empty content means that the key was removed.
 func (f *Fleet) Sync(_ context.Context, r *peer.SyncRequest) (*peer.SyncReply, error) {
-	var since int64
+	f.mu.Lock()
+	now := time.Now()
+	for _, m := range r.Members {
+		if id := identityFromMember(m); id.Daemon == r.From {
+			f.members.SetIdentity(now, id)
+		} else {
+			f.members.LearnIdentity(now, id)
+		}
+	}
+	reply := f.syncReply(r)
+	f.mu.Unlock()
+	return compressReply(reply)
+}
+
+// syncReply returns the reply to a Sync call. f.mu must be held.
+func (f *Fleet) syncReply(r *peer.SyncRequest) *peer.SyncReply {
+	var since, tableRevision int64
 	for _, v := range r.Versions {
-		if v.Name == stateDocument {
+		switch v.Name {
+		case stateDocument:
 			since = int64(v.Version)
+		case f.opts.Codec.TableKey:
+			tableRevision = int64(v.Version)
 		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, m := range r.Members {
-		f.members.SetIdentity(identityFromMember(m))
+	reply := &peer.SyncReply{
+		Versions:  []*peer.DocumentVersion{{Name: stateDocument, Version: uint64(f.state.Revision())}},
+		Documents: documentsFromEntries(f.state.Since(since, tableRevision)),
 	}
-	reply := &peer.SyncReply{Members: []*peer.Member{memberFromIdentity(f.opts.Self)}, Versions: []*peer.DocumentVersion{{Name: stateDocument, Version: uint64(f.state.Revision())}}}
-	for _, id := range f.members.Identities() {
-		reply.Members = append(reply.Members, memberFromIdentity(id))
+	if r.WantRoster {
+		reply.Roster = f.members.OwnRoster()
 	}
-	for _, e := range f.state.Since(since) {
-		reply.Documents = append(reply.Documents, &peer.Document{Name: e.Key, Version: uint64(e.Revision), Content: e.Value})
+	for _, id := range append(f.members.Identities(), f.opts.Self) {
+		if f.members.digests.differs(id.Daemon, r.MemberDigests) {
+			reply.Members = append(reply.Members, memberFromIdentity(id))
+		}
 	}
-	return reply, nil
+	return reply
 }
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -21,18 +21,31 @@
 	// largeFleetReportInterval is the same for a larger fleet. It can be longer, because the scheduler is also informed
 	// of each request separately.
 	largeFleetReportInterval = 400 * time.Millisecond
-	// maxSmallFleetPeers is the maximum number of other daemons in a small fleet. There, full reports go to all
-	// daemons, and all daemons forward changes of the store.
-	maxSmallFleetPeers = 8
+	// rosterInterval is how often a relay checks whether its roster has changed, and rosterCheckInterval how often other
+	// daemons check whether they have the rosters of the relays.
+	rosterInterval      = 100 * time.Millisecond
+	rosterCheckInterval = 500 * time.Millisecond
 	// maxLoadRecipients is the maximum number of daemons that receive full reports in a larger fleet: the first ones in
 	// the order of Schedulers, which are the scheduler and the daemons that replace it if it fails.
 	maxLoadRecipients = 3
 	// iterationsPerIdentity sets how often the reports of reportLoop include the sender's addresses: in one of this many
-	// iterations. An iteration sends up to two reports, see sendReports. A report of a change of the daemon's state
-	// always includes the addresses.
+	// iterations. An iteration sends up to two reports, see sendReports. Reports include the addresses also after a
+	// change of the relays or of the daemon's state.
 	iterationsPerIdentity = 8
-	// maxDatagramBytes is the maximum size of a received datagram.
-	maxDatagramBytes = 8 << 10
+	// maxDatagramBytes is the maximum size of a received datagram, which is that of UDP.
+	maxDatagramBytes = 64 << 10
+)
+
+// audience selects the recipients of a report.
+type audience int
+
+const (
+	// loadAudience are all daemons of a small fleet, or the load recipients of a larger one.
+	loadAudience audience = iota
+	// heartbeatAudience are the loadAudience and, in a larger fleet, the relays, or all daemons if the sender is a relay.
+	heartbeatAudience
+	// everyone are all known daemons, whether live or not.
+	everyone
 )
 
 // reportLoop sends reports after changes of the load and as heartbeats until ctx is canceled.
@@ -47,35 +60,55 @@
 		case <-f.reportPending:
 		case <-timer.C:
 		}
-		heartbeatDue := !time.Now().Before(heartbeatAt)
-		peers := f.sendReports(heartbeatDue, n%iterationsPerIdentity == 0)
-		if heartbeatDue {
-			heartbeatAt = time.Now().Add(f.nextHeartbeatInterval(peers + 1))
-			f.expireSilentDaemons()
+		now := time.Now()
+		to, identify := loadAudience, n%iterationsPerIdentity == 0
+		if !now.Before(heartbeatAt) {
+			to = heartbeatAudience
+			f.mu.Lock()
+			f.members.UpdateRelays(now)
+			identify = identify || f.members.MustIdentify(now)
+			heartbeatAt = now.Add(f.members.HeartbeatInterval())
+			f.mu.Unlock()
+			f.expireState()
 		}
-		sleepContext(ctx, reportInterval(peers))
+		f.sendReports(to, identify)
+		sleepContext(ctx, f.reportInterval())
 		timer.Reset(max(time.Until(heartbeatAt), time.Millisecond))
 	}
 }
 
-// reportInterval returns the minimum time between two iterations of reportLoop in a fleet with the given
-// number of other daemons.
-func reportInterval(peers int) time.Duration {
-	if peers > maxSmallFleetPeers {
+// reportInterval returns the minimum time between two iterations of reportLoop.
+func (f *Fleet) reportInterval() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.members.isLarge() {
 		return largeFleetReportInterval
 	}
 	return smallFleetReportInterval
 }
 
-// nextHeartbeatInterval returns the time until the next heartbeat in a fleet of fleetSize daemons, including this one.
-// Watchers always use the base interval, because other daemons rely on their reports.
-func (f *Fleet) nextHeartbeatInterval(fleetSize int) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.members.MustWatch(time.Now(), watcherMaxAge) {
-		return baseHeartbeatInterval
+// rosterLoop updates the roster of this daemon while it is a relay, and sends each change to all daemons. If a roster of
+// another relay differs from the one that it sends changes of, it is pulled.
+func (f *Fleet) rosterLoop(ctx context.Context) {
+	interval := rosterInterval
+	for ctx.Err() == nil {
+		sleepContext(ctx, interval)
+		now := time.Now()
+		f.mu.Lock()
+		interval = rosterCheckInterval
+		if f.members.IsRelay() {
+			interval = rosterInterval
+		}
+		changed := f.members.PublishRoster(now, rosterEntry{incarnation: f.incarnation, state: f.selfState})
+		source := f.members.RosterSource(now)
+		f.mu.Unlock()
+		if changed {
+			f.sendReports(heartbeatAudience, false)
+		}
+		if source != nil {
+			f.pullRoster(ctx, source)
+		}
 	}
-	return heartbeatInterval(fleetSize)
 }
 
 // recentChange holds the entries that changed after the revision since, in the form in which reports include them until
@@ -93,36 +126,32 @@
 	maxRecentChangeBytes = 4 << 10
 )
 
-// announceChanges adds the entries that changed after revision since to the following reports. A watcher also sends a
-// report immediately.
-func (f *Fleet) announceChanges(since int64) {
-	f.mu.Lock()
-	change := recentChange{since: since, until: time.Now().Add(recentChangeTTL)}
-	for _, e := range f.state.Since(since) {
-		change.entries = append(change.entries, &peer.Document{Name: e.Key, Version: uint64(e.Revision), Content: e.Value})
-	}
-	f.recentChanges = append(f.recentChanges, change)
-	watching := f.members.MustWatch(time.Now(), watcherMaxAge)
-	f.mu.Unlock()
-	if watching {
-		f.sendReports(true, false)
-	}
+// addRecentChange adds the entries that changed after the revision since to the following reports. tableRevision was
+// the revision of the routing table then. f.mu must be held.
+func (f *Fleet) addRecentChange(now time.Time, since, tableRevision int64) {
+	f.recentChanges = append(f.recentChanges, recentChange{
+		since: since, entries: documentsFromEntries(f.state.Since(since, tableRevision)), until: now.Add(recentChangeTTL),
+	})
 }
 
-// recentEntries returns the recently changed entries that fit into a report, newest change first, and a revision: the
+// recentEntries returns the recently changed entries that fit into a report, oldest change first, and a revision: the
 // entries include all changes after it. The revision is 0 if no entries fit or none are recent. f.mu must be held.
 func (f *Fleet) recentEntries(now time.Time) (entries []*peer.Document, since int64) {
 	f.recentChanges = slices.DeleteFunc(f.recentChanges, func(c recentChange) bool { return now.After(c.until) })
 	size := 0
-	for i := len(f.recentChanges) - 1; i >= 0; i-- {
-		for _, e := range f.recentChanges[i].entries {
+	first := len(f.recentChanges)
+	for first > 0 {
+		for _, e := range f.recentChanges[first-1].entries {
 			size += len(e.Name) + len(e.Content)
 		}
 		if size > maxRecentChangeBytes {
 			break
 		}
-		entries = append(entries, f.recentChanges[i].entries...)
-		since = f.recentChanges[i].since
+		first--
+		since = f.recentChanges[first].since
+	}
+	for _, c := range f.recentChanges[first:] {
+		entries = append(entries, c.entries...)
 	}
 	return entries, since
 }
@@ -141,6 +170,7 @@
 	if f.members.ForwardsChanges(now, watcherMaxAge) {
 		r.Entries, r.EntriesSince = f.recentEntries(now)
 	}
+	r.Roster, r.RosterDigest = f.members.RosterChanges(now)
 	if !f.lastStoreReply.IsZero() && !f.storeFailing {
 		r.StoreAgeMs = uint32(min(now.Sub(f.lastStoreReply).Milliseconds(), unknownAgeMs))
 	}
@@ -152,30 +182,40 @@
 	return r
 }
 
-// announceState immediately sends the daemon's state to all known daemons, whether live or not.
-func (f *Fleet) announceState() { f.sendReports(true, true) }
+// announceState immediately sends the daemon's state to everyone.
+func (f *Fleet) announceState() { f.sendReports(everyone, true) }
 
-// sendReports sends a full report, see buildReport, to all other daemons of a small fleet or to the load recipients of
-// a larger one. If toAll is set, it sends a report that is not full to the remaining daemons. It returns the number of
-// other daemons.
-func (f *Fleet) sendReports(toAll, withIdentity bool) int {
+// sendReports sends a full report, see buildReport, to the loadAudience, and a report that is not full to the remaining
+// daemons of the given audience.
+func (f *Fleet) sendReports(to audience, withIdentity bool) {
 	f.mu.Lock()
-	all := f.members.Identities()
-	loadRecipients := all
-	if len(all) > maxSmallFleetPeers {
-		loadRecipients = f.loadRecipients()
-	}
+	loadRecipients, others := f.recipients(to)
 	f.mu.Unlock()
 	if len(loadRecipients) > 0 {
 		f.send(&peer.Datagram{Message: &peer.Datagram_Report{Report: f.buildReport(true, withIdentity)}}, loadRecipients...)
 	}
-	otherRecipients := slices.DeleteFunc(slices.Clone(all), func(id *peer.Identity) bool {
+	if len(others) > 0 {
+		f.send(&peer.Datagram{Message: &peer.Datagram_Report{Report: f.buildReport(false, withIdentity)}}, others...)
+	}
+}
+
+// recipients returns the loadAudience and the remaining daemons of an audience. f.mu must be held.
+func (f *Fleet) recipients(to audience) (loadRecipients, others []*peer.Identity) {
+	if !f.members.isLarge() {
+		return f.members.Identities(), nil
+	}
+	loadRecipients = f.loadRecipients()
+	switch {
+	case to == loadAudience:
+		return loadRecipients, nil
+	case to == everyone || f.members.IsRelay():
+		others = f.members.Identities()
+	default:
+		others = f.members.RelayIdentities()
+	}
+	return loadRecipients, slices.DeleteFunc(others, func(id *peer.Identity) bool {
 		return slices.ContainsFunc(loadRecipients, func(other *peer.Identity) bool { return other.Daemon == id.Daemon })
 	})
-	if toAll && len(otherRecipients) > 0 {
-		f.send(&peer.Datagram{Message: &peer.Datagram_Report{Report: f.buildReport(false, withIdentity)}}, otherRecipients...)
-	}
-	return len(all)
 }
 
 // loadRecipients returns the first maxLoadRecipients daemons in the order of Schedulers, without this daemon. f.mu must
@@ -231,22 +271,18 @@
 	}
 }
 
-// expireSilentDaemons discards the load of daemons that have become silent, which means that they have sent reports but
-// are no longer live. It removes a daemon only if it is not registered in the store and has sent no report for
-// removeAfter or none at all.
-func (f *Fleet) expireSilentDaemons() {
-	const removeAfter = 30 * time.Second
+// expireState discards the load of daemons that have been silent for forgetLoadAfter, removes those that have been
+// silent for removeAfter, and discards old removals of keys.
+func (f *Fleet) expireState() {
+	const (
+		forgetLoadAfter = 5 * time.Second
+		removeAfter     = 30 * time.Second
+	)
 	now := time.Now()
-	var newlySilent []string
 	f.mu.Lock()
-	for id, member := range f.members.members {
-		silent := !member.LastReport.IsZero() && !f.members.isLive(now, member)
-		if silent && !f.silentDaemons[id] {
-			newlySilent = append(newlySilent, id)
-		}
-		f.silentDaemons[id] = silent
-	}
-	f.members.RemoveSilent(now, removeAfter, func(daemon string) bool { return f.registeredDaemons[daemon] })
+	newlySilent := f.members.Silent(now, forgetLoadAfter)
+	f.members.RemoveSilent(now, removeAfter)
+	f.state.ExpireTombstones(now)
 	f.mu.Unlock()
 	for _, id := range newlySilent {
 		f.opts.Log.Info("daemon silent", "daemon", id)
@@ -286,8 +322,8 @@
 	receivedAt := time.Now()
 	if len(r.Entries) > 0 {
 		f.updateState(func(now time.Time, s *State) bool {
-			changed := applyDocuments(now, s, r.Entries)
-			if r.EntriesSince > 0 && s.Revision() >= r.EntriesSince {
+			changed, complete := applyDocuments(now, s, r.Entries)
+			if complete && r.EntriesSince > 0 && s.Revision() >= r.EntriesSince {
 				// The entries are all changes between EntriesSince and the sender's revision.
 				s.Advance(r.Revision)
 			}
@@ -296,15 +332,14 @@
 	}
 	f.mu.Lock()
 	member := f.members.RecordReport(receivedAt, r)
-	var from *peer.Identity
 	if member != nil {
-		from = member.Identity
-		if r.Revision > f.state.Revision() {
-			f.schedulePull(receivedAt, from)
-		}
+		f.members.RecordRoster(receivedAt, r.Daemon, r.Roster, r.RosterDigest)
+	}
+	if member != nil && r.Revision > f.state.Revision() {
+		f.schedulePull(receivedAt)
 	}
 	f.mu.Unlock()
-	if from != nil {
+	if member != nil {
 		f.opts.Reporter.HandleReport(r)
 	}
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -57,6 +57,8 @@
 	table   *traffic.Table
 	// revision is the revision of the store up to which the state is complete. Single keys may be newer.
 	revision int64
+	// tableChanges are the latest changes of the routing table, oldest first and without gaps.
+	tableChanges []tableChange
 	// recoveryGraceUntil is gracePeriod after the end of the last outage of the store. Ready endpoints whose removal
 	// this daemon learns of before that time stay in use for another gracePeriod. Later removals take effect at once.
 	recoveryGraceUntil time.Time
@@ -108,7 +110,7 @@
 		return false
 	}
 	if key == s.codec.TableKey {
-		return s.applyTable(key, revision, value)
+		return s.applyTable(revision, value)
 	}
 	s.applyEndpoint(now, key, revision, value, old)
 	return true
@@ -119,16 +121,16 @@
 }
 
 // applyTable replaces the routing table. A malformed table and a removal are ignored.
-func (s *State) applyTable(key string, revision int64, value []byte) bool {
+func (s *State) applyTable(revision int64, value []byte) bool {
 	if value == nil {
 		return false
 	}
 	table, err := s.codec.DecodeTable(value)
 	if err != nil {
-		s.onRejected(key, err)
+		s.onRejected(s.codec.TableKey, err)
 		return false
 	}
-	s.records[key] = &record{revision: revision, value: value}
+	s.records[s.codec.TableKey] = &record{revision: revision, value: value}
 	s.table = table
 	return true
 }
@@ -178,11 +180,11 @@
 	// The revision is that of the newest change of a relevant key, but at most listRevision, which is the revision of
 	// the first page: a key on an early page may have changed before a later page was read.
 	s.Advance(min(newest, listRevision))
-	s.expireTombstones(now)
 	return changed
 }
 
-func (s *State) expireTombstones(now time.Time) {
+// ExpireTombstones discards removals that are older than tombstoneRetention.
+func (s *State) ExpireTombstones(now time.Time) {
 	for key, r := range s.records {
 		if r.value == nil && now.Sub(r.removedAt) > tombstoneRetention {
 			delete(s.records, key)
@@ -190,23 +192,26 @@
 	}
 }
 
-// Entry is the last known state of one key, as exchanged between daemons.
+// Entry is the last known state of one key, or a change of it, as exchanged between daemons.
 type Entry struct {
 	Key      string
 	Revision int64
 	// Value is nil if the key was removed.
 	Value []byte
+	// Base is the revision of the value to which Value is a patch, or 0 if Value is complete.
+	Base int64
 }
 
-// Since returns the entries that changed after revision, including removals, in no particular order.
-func (s *State) Since(revision int64) []Entry {
+// Since returns the entries that changed after revision, including removals, in no particular order except that
+// patches of the routing table follow each other. tableRevision is the revision of the receiver's routing table.
+func (s *State) Since(revision, tableRevision int64) []Entry {
 	var entries []Entry
 	for key, r := range s.records {
-		if r.revision > revision {
+		if r.revision > revision && key != s.codec.TableKey {
 			entries = append(entries, Entry{Key: key, Revision: r.revision, Value: r.value})
 		}
 	}
-	return entries
+	return append(entries, s.tableSince(tableRevision)...)
 }
 
 // NextGraceEnd returns the earliest time after now at which a grace period ends, or the zero time if there is none.
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -139,7 +139,7 @@
 			a.Advance(0)
 		}
 		for _, pair := range [][2]*State{{a, b}, {b, a}} {
-			for _, e := range pair[0].Since(0) {
+			for _, e := range pair[0].Since(0, 0) {
 				pair[1].Apply(testTime, e.Key, e.Revision, e.Value)
 			}
 		}
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -136,7 +137,8 @@
 // reports. scheduled is true if this daemon is the scheduler that the report names; the part of the load that
 // this daemon scheduled is then not counted twice.
 func (b *Placer) HandleReport(now time.Time, r *peer.Report, scheduled bool) {
-	reported := make(map[uint32]bool, len(r.Loads))
+	previous := b.reportedLoads[r.Daemon]
+	reported := make([]*endpoint, 0, len(r.Loads))
 	for _, l := range r.Loads {
 		e := b.byHash[l.Endpoint]
 		if e == nil {
@@ -150,13 +152,14 @@
 			})
 		}
 		e.setRemote(r.Daemon, remote)
-		reported[l.Endpoint] = true
+		reported = append(reported, e)
 	}
-	for hash, e := range b.byHash {
-		if !reported[hash] {
+	for _, e := range previous {
+		if !slices.Contains(reported, e) {
 			e.setRemote(r.Daemon, load{})
 		}
 	}
+	b.reportedLoads[r.Daemon] = reported
 	for _, c := range r.Cached {
 		e := b.byHash[c.Endpoint]
 		if e == nil {
@@ -178,8 +181,9 @@
 
 // ForgetDaemon removes the load and the demand of a daemon that no longer reports.
 func (b *Placer) ForgetDaemon(daemon string) {
-	for _, e := range b.endpoints {
+	for _, e := range b.reportedLoads[daemon] {
 		e.setRemote(daemon, load{})
 	}
+	delete(b.reportedLoads, daemon)
 	delete(b.demand.remote, daemon)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -141,6 +141,8 @@
 	byHash    map[uint32]*endpoint
 	cache     *cacheIndex
 	demand    *demand
+	// reportedLoads holds the endpoints for which each other daemon has reported a load.
+	reportedLoads map[string][]*endpoint
 	// strictClasses holds the hashes of the strict classes, whose inter-token targets (traffic.Route.EventGap) are
 	// close to the shortest one; see findStrictClasses.
 	strictClasses map[uint32]bool
@@ -155,7 +157,7 @@
 func New(salt uint64) *Placer {
 	return &Placer{
 		salt: rendezvous.Hash(salt), pools: map[string]*pool{}, endpoints: map[string]*endpoint{}, byHash: map[uint32]*endpoint{},
-		cache: newCacheIndex(), demand: newDemand(), strictClasses: map[uint32]bool{}, classTargets: map[uint32]classTarget{},
+		cache: newCacheIndex(), demand: newDemand(), reportedLoads: map[string][]*endpoint{}, strictClasses: map[uint32]bool{}, classTargets: map[uint32]classTarget{},
 	}
 }
 
