Limit response heads without an end and bodies that callers never finish

Cause: http.ReadResponse has no limit: an endpoint that sent a status line, a header, a header block or informational responses without an end was read into memory until the request's deadline, at the speed of the link. A caller that sent its body a byte at a time held a connection and the body's memory for as long as it liked, because the deadline was not applied to reading it. A late body gets 408, which is true: nothing was sent to an endpoint.

--- a/internal/entry/reasons.go
+++ b/internal/entry/reasons.go
@@ -28,6 +28,7 @@
 	UnknownKeyMaybeStale Reason = "unknown key in a routing table that may be out of date"
 	NoAttemptID          Reason = "the attempt has no id"
 	BodyTooLarge         Reason = "the body is too large"
+	BodyLate             Reason = "the body did not arrive in time"
 	unknownReason               = "The request ended for a reason that is unknown to this version."
 )
 
@@ -57,6 +58,7 @@
 	UnknownKeyMaybeStale: "No workspace has the API key, but the daemon had lost contact with the store, so it asked the caller to retry.",
 	NoAttemptID:          "The request has no attempt ID, which is needed to match the response to it.",
 	BodyTooLarge:         "The body exceeds the limit of the configuration.",
+	BodyLate:             "The caller had not sent the whole body by the request's deadline; nothing was sent to an endpoint.",
 }
 
 // Explain returns a sentence that explains the reason.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strings"
 	"time"
@@ -221,20 +222,31 @@
 // defaultMaxBody is the maximum size of a request body in bytes if the routing table states no limit.
 const defaultMaxBody = 4 << 20
 
-// readBody reads the body, which is kept in memory for retries. The reply is not nil if the body is too large.
+// readBody reads the body, which is kept in memory for retries. The reply is not nil if the body is too large or has not
+// arrived by the request's deadline.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, req *request) *reply {
+	if r.Body == http.NoBody {
+		return nil
+	}
 	limit := s.fleet.View().Table.MaxBody
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(req.deadline)
 	var err error
 	if req.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit)); err != nil {
 		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
+		switch {
+		case errors.As(err, &tooLarge):
 			return &reply{status: http.StatusRequestEntityTooLarge, reason: BodyTooLarge}
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return &reply{status: http.StatusRequestTimeout, reason: BodyLate}
 		}
 		// The caller has disconnected or the body is malformed. The connection is closed without a reply.
 		panic(http.ErrAbortHandler)
 	}
+	// Later reads only detect that the caller disconnects.
+	_ = control.SetReadDeadline(time.Time{})
 	return nil
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -24,14 +24,21 @@
 	// response. After that the connection is closed.
 	requestWriteGrace = 50 * time.Millisecond
 	readBufferSize    = 4 << 10
+	// maxHeadBytes limits the bytes that are read for the header of a response, informational responses before it
+	// included. The header of a faulty endpoint may have no end.
+	maxHeadBytes = 64 << 10
 )
 
+// errHeadTooLarge means that an endpoint sent maxHeadBytes without completing the header of a response.
+var errHeadTooLarge = fmt.Errorf("response header exceeds %d bytes", maxHeadBytes)
+
 // errUnsent marks a write that failed before any byte was sent.
 var errUnsent = errors.New("nothing was written")
 
 // conn is a connection to an endpoint. It carries one request at a time.
 type conn struct {
 	raw         net.Conn
+	source      *limitedReader
 	reader      *bufio.Reader
 	reused      bool
 	idleTimeout time.Duration
@@ -40,7 +47,28 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferSize), idleTimeout: defaultIdleTimeout}
+	source := &limitedReader{source: raw}
+	return &conn{raw: raw, source: source, reader: bufio.NewReaderSize(source, readBufferSize), idleTimeout: defaultIdleTimeout}
+}
+
+// limitedReader reads from source, and fails while it is limited once remaining bytes have been read.
+type limitedReader struct {
+	source    io.Reader
+	limited   bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(p)
+	}
+	if l.remaining == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 func (c *conn) close() { c.closeOnce.Do(func() { _ = c.raw.Close() }) }
@@ -122,8 +150,10 @@
 	return err
 }
 
-// readHead reads the header of the next response and skips informational (1xx) responses.
+// readHead reads the header of the next response, of at most maxHeadBytes, and skips informational (1xx) responses.
 func (c *conn) readHead(r *Request) (*http.Response, error) {
+	c.source.limited, c.source.remaining = true, maxHeadBytes
+	defer func() { c.source.limited = false }()
 	for {
 		head, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
