Start from a listing that may be seconds old; test patches, rosters and replies

Cause: after the change to relays a daemon that is no seed waited for the state of a seed, up to 1.5 s, and 300 daemons got it through three small VMs. Relays tell what is newer; until a relay with a fresh reply is heard, unknown keys and routes get 503. If the store gives no reply, the state comes from a seed as before. Ruled out: the store's link: the listing takes 0.4 s with a table of 229 KB on a link of 10 Mbit/s, as it did before. A patched table cannot be used without its base: such an entry is not applied and is pulled whole.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -107,6 +107,8 @@
 		{"unknown key", "/once/", "k9", func(*system) {}, 401},
 		{"no route by an old table", "/none/", "k1", func(s *system) { s.fleet.Age = time.Minute }, 503},
 		{"unknown key by an old table", "/once/", "k9", func(s *system) { s.fleet.Age = time.Minute }, 503},
+		{"no route while another daemon has a newer table", "/none/", "k1", func(s *system) { s.fleet.Outdated = true }, 503},
+		{"unknown key while another daemon has a newer table", "/once/", "k9", func(s *system) { s.fleet.Outdated = true }, 503},
 		{"no table", "/once/", "k1", func(s *system) { s.fleet.Current = &fleet.View{} }, 503},
 		{"stopping", "/once/", "k1", func(s *system) { s.RefuseRequests() }, 503},
 		{"no endpoint", "/once/", "k1", func(s *system) { s.SetView(&fleet.View{Table: s.fleet.Current.Table}) }, 503},
--- a/internal/etcdjson/etcdjson.go
+++ b/internal/etcdjson/etcdjson.go
@@ -45,6 +45,8 @@
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
 	Limit    int64  `json:"limit,string,omitempty"`
+	// Serializable allows a reply that may be out of date.
+	Serializable bool `json:"serializable,omitempty"`
 }
 
 // RangeReply is the reply to a RangeRequest.
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -29,8 +29,8 @@
 	watcherMaxAge = 3 * time.Second
 	// watchCheckInterval is how often a daemon that does not watch checks whether it must.
 	watchCheckInterval = 200 * time.Millisecond
-	// peerStateWait is how long a starting daemon waits for the state of another daemon before it lists the store.
-	// Seeds do not wait.
+	// peerStateWait is how long a starting daemon to which the store does not reply waits for the state of another daemon
+	// before it tries the store again.
 	peerStateWait = 1500 * time.Millisecond
 	// relayStartupWait is how long a starting daemon waits for reports of others before it watches the store as a relay,
 	// and startupReportWait how long any other waits for a report of a relay that watches it.
@@ -50,12 +50,13 @@
 	isolatedListInterval = 5 * time.Second
 )
 
-// replicateStore replicates the store into the state until ctx is canceled. It gets the state from another daemon or
-// lists all keys, then watches while this daemon is responsible for watching. It lists the keys again if the revision
-// from which it watches has been compacted.
+// replicateStore replicates the store into the state until ctx is canceled. Seeds begin with a listing of all keys. Others
+// begin with one that may be seconds old, which is cheap, and get what is newer from the relays or, if the store does
+// not reply, all of the state from a seed. All then watch while they are responsible for watching, and list the keys
+// again if the revision from which they watch has been compacted.
 func (f *Fleet) replicateStore(ctx context.Context) {
 	delay := minRetryDelay
-	hasListing := f.awaitPeerState(ctx)
+	hasListing := !f.isSeed() && (f.listStaleStore(ctx) == nil || f.awaitPeerState(ctx))
 	if hasListing {
 		f.awaitWatchedStore(ctx)
 	}
@@ -85,11 +86,13 @@
 	}
 }
 
+// isSeed reports whether other daemons get the state from this one when they start, or there is no other to get it from.
+func (f *Fleet) isSeed() bool {
+	return len(f.opts.Seeds) == 0 || slices.Contains(f.opts.Seeds, f.opts.Self.ControlAddress)
+}
+
 // awaitPeerState waits for up to peerStateWait until another daemon has sent the state, and reports whether it has.
 func (f *Fleet) awaitPeerState(ctx context.Context) bool {
-	if len(f.opts.Seeds) == 0 || slices.Contains(f.opts.Seeds, f.opts.Self.ControlAddress) {
-		return false
-	}
 	for deadline := time.Now().Add(peerStateWait); ctx.Err() == nil && time.Now().Before(deadline); {
 		if f.View().Table != nil {
 			return true
@@ -146,32 +149,52 @@
 	}
 }
 
-// listStore reads all keys. The pages are not one snapshot, so the watch starts at the revision of the first page.
+// listStore reads all keys and replaces the state.
 func (f *Fleet) listStore(ctx context.Context) error {
-	var all []platform.KeyValue
-	var firstRevision int64
-	request := platform.RangeRequest{Prefix: true}
+	all, revision, err := f.readAll(ctx, false)
+	if err != nil {
+		return err
+	}
+	f.recordStoreReply()
+	f.applyListing(all, revision)
+	return nil
+}
+
+// listStaleStore reads all keys as of a few seconds ago. It is no proof that the state is up to date.
+func (f *Fleet) listStaleStore(ctx context.Context) error {
+	all, revision, err := f.readAll(ctx, true)
+	if err != nil {
+		return err
+	}
+	f.applyListing(all, revision)
+	return nil
+}
+
+// readAll reads all keys. The pages are not one snapshot; all changes up to the returned revision are in them.
+func (f *Fleet) readAll(ctx context.Context, stale bool) (all []platform.KeyValue, revision int64, err error) {
+	request := platform.RangeRequest{Prefix: true, Stale: stale}
 	for {
 		page, err := f.opts.KV.Range(ctx, request)
 		if err != nil {
-			return err
+			return nil, 0, err
 		}
-		if firstRevision == 0 {
-			firstRevision = page.Revision
+		if revision == 0 || page.Revision < revision {
+			revision = page.Revision
 		}
 		all = append(all, page.KVs...)
 		if !page.More || len(page.KVs) == 0 {
-			break
+			return all, revision, nil
 		}
 		request.After = page.KVs[len(page.KVs)-1].Key
 	}
-	f.recordStoreReply()
+}
+
+func (f *Fleet) applyListing(all []platform.KeyValue, revision int64) {
 	f.updateDaemons(all)
 	f.mu.Lock()
-	f.readRevision = max(f.readRevision, firstRevision)
+	f.readRevision = max(f.readRevision, revision)
 	f.mu.Unlock()
-	f.updateState(func(now time.Time, s *State) bool { return s.ApplyListing(now, firstRevision, all) })
-	return nil
+	f.updateState(func(now time.Time, s *State) bool { return s.ApplyListing(now, revision, all) })
 }
 
 // watchStore applies events of a watch until the watch fails or this daemon need not watch any more.
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -319,8 +319,12 @@
 	return nil
 }
 
-func (k *simKV) Range(ctx context.Context, _ platform.RangeRequest) (platform.RangeReply, error) {
-	if err := k.call(ctx, "range"); err != nil {
+func (k *simKV) Range(ctx context.Context, r platform.RangeRequest) (platform.RangeReply, error) {
+	kind := "range"
+	if r.Stale {
+		kind = "stale range"
+	}
+	if err := k.call(ctx, kind); err != nil {
 		return platform.RangeReply{}, err
 	}
 	s := k.d.sim.store
--- a/internal/fleet/tablechange.go
+++ b/internal/fleet/tablechange.go
@@ -59,6 +59,8 @@
 	value, err := applyPatch(old.value, e.Value)
 	if err != nil {
 		s.onRejected(e.Key, err)
+	}
+	if err != nil || len(value) == 0 {
 		return false, false
 	}
 	changed = s.applyTable(e.Revision, value)
--- a/modules/kv/etcd/ops.go
+++ b/modules/kv/etcd/ops.go
@@ -79,7 +79,7 @@
 func (k *KV) prefixedKey(name string) []byte { return []byte(k.Prefix + name) }
 
 func (k *KV) rangeRequest(r platform.RangeRequest) *etcdjson.RangeRequest {
-	req := &etcdjson.RangeRequest{Key: k.prefixedKey(r.Key), Limit: int64(r.Limit)}
+	req := &etcdjson.RangeRequest{Key: k.prefixedKey(r.Key), Limit: int64(r.Limit), Serializable: r.Stale}
 	if r.Prefix {
 		req.RangeEnd = etcdjson.PrefixEnd(k.Prefix + r.Key)
 		if r.After != "" {
