Do not count a request's own prefill as backlog when refusing for overload

Cause: the wait that is compared with the limit includes the request's own prefill. The users' rule is that the largest tenth of a class is served at least half as often as the class. Change: the limit rises with the time of the tokens beyond the class's mean, up to 0.65 of the target and not in the other partition, and falls, by half of the difference at most, for shorter ones while many are refused. It costs the class as a whole: fewer, larger requests.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -285,7 +285,7 @@
 	}
 	s.opts.Log.Info("request ended", "request", req.caller.AttemptID, "class", class, "tier", req.tier, "workspace", req.workspace.Name,
 		"version", req.tableVersion, "status", status, "reason", string(reason), "detail", detail, "cut", end.cut, "endpoint", req.endpoint, "placed_by", req.placedBy, "sends", req.sends,
-		"read", req.prefillTokens, "waited_ms", req.waitTime.Milliseconds(), "predicted_ms", req.predictedWait.Milliseconds(), "first_ms", req.timeToFirstEvent.Milliseconds(),
+		"prompt", req.placeReq.Chain.Total, "read", req.prefillTokens, "waited_ms", req.waitTime.Milliseconds(), "predicted_ms", req.predictedWait.Milliseconds(), "first_ms", req.timeToFirstEvent.Milliseconds(),
 		"gap_ms", req.longestGap.Milliseconds(), "events", req.events, "total_ms", total.Milliseconds(), "left", r.Context().Err() != nil)
 }
 
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -37,6 +37,12 @@
 	overloadWaitFraction  = 0.4
 	variationWaitFraction = 0.6
 	maxWaitFraction       = 0.8
+	// longPrefillWaitFraction is the fraction of the first-byte target that the expected wait of a request with a long
+	// prefill of its own may take. A longer prefill delays requests of more urgent classes too much.
+	longPrefillWaitFraction = 0.65
+	// shortPrefillWeight is the part of the time by which a request's prefill is shorter than the class's mean that its
+	// limit is reduced by at a high refusal rate.
+	shortPrefillWeight = 0.5
 	// lowRefusalRate is the refusal rate up to which the larger fraction applies, and highRefusalRate the one
 	// from which overloadWaitFraction applies. In between, the fraction is interpolated.
 	lowRefusalRate  = 0.2
@@ -54,42 +60,97 @@
 	maxRetryAfter = 4 * time.Second
 )
 
-// classTarget is the tier and first-byte target of a class.
-type classTarget struct {
+// classState is what admission knows of a class.
+type classState struct {
 	tier      int
 	firstByte time.Duration
+	// prefillTokens is the smoothed number of prompt tokens that an engine has to prefill for a request.
+	prefillTokens float64
 }
 
-// waitLimit returns the maximum Choice.Wait for which a request is admitted; 0 means no limit. A wait at the
-// limit takes, with its margin, the allowed fraction of the first-byte target.
-func (b *Placer) waitLimit(now time.Time, p *pool, r *annotatedRequest) time.Duration {
+// prefillSmoothing is the weight of a new request in classState.prefillTokens.
+const prefillSmoothing = 0.02
+
+// observePrefill records the number of tokens to prefill for a new request.
+func (b *Placer) observePrefill(r *Request, tokens int) {
+	state := b.classes[r.Class]
+	if state.prefillTokens == 0 {
+		state.prefillTokens = float64(tokens)
+	}
+	state.prefillTokens += prefillSmoothing * (float64(tokens) - state.prefillTokens)
+	b.classes[r.Class] = state
+}
+
+// waitLimit is the longest expected wait with which a request is admitted. The zero value sets no limit.
+type waitLimit struct {
+	// mean is the limit for a request with the mean number of tokens to prefill, and longest that for any request.
+	mean, longest time.Duration
+	// meanTokens is the class's mean number of tokens to prefill, and speed the prefill speed in tokens per millisecond.
+	meanTokens, speed float64
+	// overload says how far the limit is reduced for short prefills, see refusalRate.overload.
+	overload float64
+}
+
+// waitLimit returns the limit for a request. A wait at waitLimit.mean takes, with its margin, the allowed fraction of
+// the first-byte target.
+func (b *Placer) waitLimit(now time.Time, p *pool, r *annotatedRequest) waitLimit {
 	if p.Engine == nil || r.Waited || !b.lowestPriority(r) {
-		return 0
+		return waitLimit{}
+	}
+	withMargin := func(fraction float64) time.Duration {
+		return p.latency.withoutMargin(time.Duration(fraction * float64(r.FirstByte)))
+	}
+	return waitLimit{
+		mean: withMargin(p.refusals.waitFraction(now, len(p.endpoints))), longest: withMargin(longPrefillWaitFraction),
+		meanTokens: b.classes[r.Class].prefillTokens, speed: p.latency.prefillSpeed(), overload: p.refusals.overload(now),
 	}
-	return p.latency.withoutMargin(time.Duration(p.refusals.waitFraction(now, len(p.endpoints)) * float64(r.FirstByte)))
 }
 
+func (l waitLimit) isSet() bool { return l.mean > 0 }
+
+// of returns the limit for a choice. A wait includes the request's own prefill, which is no backlog. Without a correction
+// the requests with the most tokens to prefill would be refused whenever there is any backlog, and those whose shared
+// parts are not cached even by idle engines. The limit therefore rises with the tokens beyond the class's mean, up to
+// longest, and falls under overload for requests with fewer, which would otherwise take all of the capacity. It does not
+// rise in the other partition, where a long prefill delays strict streams.
+func (l waitLimit) of(c Choice) time.Duration {
+	difference := milliseconds((float64(c.PrefillTokens) - l.meanTokens) / l.speed)
+	switch {
+	case difference < 0:
+		return l.mean + time.Duration(l.overload*shortPrefillWeight*float64(difference))
+	case c.OutsidePartition:
+		return l.mean
+	}
+	return min(l.mean+difference, max(l.longest, l.mean))
+}
+
+// exceededBy reports whether a choice's wait is too long.
+func (l waitLimit) exceededBy(c Choice) bool { return l.isSet() && c.Wait > l.of(c) }
+
 // admit decides whether a request is admitted to the best endpoint. Under overload it refuses requests of the
 // lowest-priority classes immediately when they cannot be served in time, because an engine whose backlog
 // exceeds the targets serves no request in time.
-func (b *Placer) admit(now time.Time, p *pool, r *annotatedRequest, best Choice, limit time.Duration) *Refusal {
+func (b *Placer) admit(now time.Time, p *pool, r *annotatedRequest, best Choice, limit waitLimit) *Refusal {
 	if p.Engine == nil {
 		return nil
 	}
+	if !r.Waited {
+		b.observePrefill(r.Request, best.PrefillTokens)
+	}
 	wait := p.latency.withMargin(best.Wait)
 	if r.Remaining > 0 && wait > time.Duration(maxDeadlineFraction*float64(r.Remaining)) {
 		return &Refusal{Reason: DeadlineUnreachable, RetryAfter: retryAfter(wait)}
 	}
-	if limit <= 0 {
+	if !limit.isSet() {
 		return nil
 	}
-	refused := best.Wait > limit || best.Full
+	refused := limit.exceededBy(best) || best.Full
 	p.refusals.record(now, refused)
 	switch {
 	case best.Full:
-		return &Refusal{Reason: Full, RetryAfter: retryAfter(best.Wait - limit)}
+		return &Refusal{Reason: Full, RetryAfter: retryAfter(best.Wait - limit.of(best))}
 	case refused:
-		return &Refusal{Reason: Overload, RetryAfter: retryAfter(best.Wait - limit)}
+		return &Refusal{Reason: Overload, RetryAfter: retryAfter(best.Wait - limit.of(best))}
 	}
 	return nil
 }
@@ -119,23 +180,27 @@
 // waitFraction returns the fraction of the first-byte target that the expected wait may take in a pool of n
 // engines.
 func (r *refusalRate) waitFraction(now time.Time, n int) float64 {
-	r.decay(now)
 	relaxed := min(overloadWaitFraction+variationWaitFraction/math.Sqrt(float64(max(n, 1))), maxWaitFraction)
+	return relaxed - (relaxed-overloadWaitFraction)*r.overload(now)
+}
+
+// overload returns where the refusal rate is between lowRefusalRate (0) and highRefusalRate (1).
+func (r *refusalRate) overload(now time.Time) float64 {
+	r.decay(now)
 	if r.total < 1 {
-		return relaxed
+		return 0
 	}
-	overload := min(max((r.refused/r.total-lowRefusalRate)/(highRefusalRate-lowRefusalRate), 0), 1)
-	return relaxed - (relaxed-overloadWaitFraction)*overload
+	return min(max((r.refused/r.total-lowRefusalRate)/(highRefusalRate-lowRefusalRate), 0), 1)
 }
 
 // lowestPriority reports whether a request's class has a first-byte target and no known class has a lower
 // priority. Only such requests are refused for overload. The result is false for a strict class if there are other
 // classes: it has engines of its own, so refusing its requests frees no capacity for others.
 func (b *Placer) lowestPriority(r *annotatedRequest) bool {
-	if r.FirstByte <= 0 || (r.strict && len(b.classTargets) > 1) {
+	if r.FirstByte <= 0 || (r.strict && len(b.classes) > 1) {
 		return false
 	}
-	for _, t := range b.classTargets {
+	for _, t := range b.classes {
 		if t.tier > r.Tier {
 			return false
 		}
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -107,3 +107,34 @@
 		t.Errorf("%d shared tokens prefilled once, %d again", sim.prefilledOnce, sim.prefilledAgain)
 	}
 }
+
+// TestOverloadServesLargePrompts guards against an overload in which the requests with the largest prompts of the least
+// urgent class are refused far more often than the others, because their own prefill counts as a backlog. The bound is
+// the users' rule that the largest tenth of a class is served at least half as often as the whole class.
+func TestOverloadServesLargePrompts(t *testing.T) {
+	for _, burst := range []float64{1.5, 2.5, 4} {
+		quick := &loadClass{
+			route:        streamRoute("quick", 0, 300*time.Millisecond, 250*time.Millisecond),
+			sharedTokens: 172, uniqueTokens: 543, prefixes: 300, outputTokens: 280, sizeDeviation: 0.7, perSecond: 32,
+		}
+		middle := &loadClass{
+			route:        streamRoute("middle", 1, 500*time.Millisecond, 400*time.Millisecond),
+			sharedTokens: 568, uniqueTokens: 1800, prefixes: 140, outputTokens: 25, sizeDeviation: 0.9, perSecond: 32,
+		}
+		long := &loadClass{
+			route:        streamRoute("long", 2, 1500*time.Millisecond, time.Second),
+			sharedTokens: 6300, uniqueTokens: 2890, prefixes: 800, outputTokens: 50, sizeDeviation: 1, perSecond: 78,
+			burst: burst, burstUntil: 15 * time.Second,
+		}
+		simulate(20, []*loadClass{quick, middle, long}, 20*time.Second)
+		all, largest := long.servedShares()
+		t.Logf("burst %.1f: long %d in time, %d late, %d of %d refused; served %.2f of all, %.2f of the largest; quick %.2f, middle %.2f in time",
+			burst, long.inTime, long.late, long.refused, long.offered, all, largest, quick.shareInTime(), middle.shareInTime())
+		if largest < all/2 {
+			t.Errorf("burst %.1f: %.2f of the largest tenth served, of all %.2f", burst, largest, all)
+		}
+		if got := quick.shareInTime(); got < 0.9 {
+			t.Errorf("burst %.1f: %.2f of the quick requests in time, want 0.9", burst, got)
+		}
+	}
+}
--- a/internal/placement/model_test.go
+++ b/internal/placement/model_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/chivewind/chivewind/traffic"
@@ -46,6 +47,23 @@
 	refused                 int
 	// late counts the completed requests that missed a target of the class.
 	late int
+	// offeredSizes and servedSizes are the prompt sizes of all requests and of the completed ones.
+	offeredSizes, servedSizes []int
+}
+
+// servedShares returns the share of the requests that were completed, of all and of the tenth with the largest prompts.
+func (c *loadClass) servedShares() (all, largest float64) {
+	sizes := slices.Sorted(slices.Values(c.offeredSizes))
+	threshold := sizes[len(sizes)*9/10]
+	count := func(sizes []int) (n float64) {
+		for _, size := range sizes {
+			if size >= threshold {
+				n++
+			}
+		}
+		return n
+	}
+	return float64(len(c.servedSizes)) / float64(len(sizes)), count(c.servedSizes) / count(sizes)
 }
 
 // rate returns the arrivals per second at a time since the start.
@@ -57,6 +75,7 @@
 }
 
 func (c *loadClass) recordEnd(req *simRequest) {
+	c.servedSizes = append(c.servedSizes, req.chain.Total)
 	if req.firstEventAfter <= c.route.FirstByte && req.maxGap <= c.route.EventGap {
 		c.inTime++
 		if req.arrived.Sub(start) > warmUp {
@@ -181,6 +200,7 @@
 		{ID: fmt.Sprintf("%s-%d", class.route.Class, prefix), Tokens: shared},
 		{ID: fmt.Sprint(s.random.Uint64()), Tokens: unique},
 	}}
+	class.offeredSizes = append(class.offeredSizes, prompt.Tokens)
 	r := &Request{
 		Class: HashClass(class.route.Class), Zone: "z0", Chain: NewPrefixChain(prompt), Output: class.outputTokens,
 		FirstByte: class.route.FirstByte, Tier: class.route.Tier, Remaining: 12 * time.Second,
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -146,8 +146,8 @@
 	// strictClasses holds the hashes of the strict classes, whose inter-token targets (traffic.Route.EventGap) are
 	// close to the shortest one; see findStrictClasses.
 	strictClasses map[uint32]bool
-	// classTargets holds the targets of the classes that have had requests to engine pools since the last SetTable.
-	classTargets map[uint32]classTarget
+	// classes holds the classes that have had requests to engine pools since the last SetTable.
+	classes map[uint32]classState
 	// schedulerEpoch is incremented with each change of the scheduler.
 	schedulerEpoch int
 }
@@ -157,7 +157,7 @@
 func New(salt uint64) *Placer {
 	return &Placer{
 		salt: rendezvous.Hash(salt), pools: map[string]*pool{}, endpoints: map[string]*endpoint{}, byHash: map[uint32]*endpoint{},
-		cache: newCacheIndex(), demand: newDemand(), reportedLoads: map[string][]*endpoint{}, strictClasses: map[uint32]bool{}, classTargets: map[uint32]classTarget{},
+		cache: newCacheIndex(), demand: newDemand(), reportedLoads: map[string][]*endpoint{}, strictClasses: map[uint32]bool{}, classes: map[uint32]classState{},
 	}
 }
 
@@ -191,7 +191,7 @@
 // SetTable replaces the routing table.
 func (b *Placer) SetTable(t *traffic.Table) {
 	b.strictClasses, b.demand.strictGap = findStrictClasses(t)
-	b.classTargets = map[uint32]classTarget{}
+	b.classes = map[uint32]classState{}
 	for name, p := range t.Pools {
 		if known := b.pools[name]; known != nil {
 			known.Pool = p
@@ -293,7 +293,9 @@
 	b.updatePartition(now, p)
 	annotated := &annotatedRequest{Request: r, strict: b.strictClasses[r.Class]}
 	if p.Engine != nil {
-		b.classTargets[r.Class] = classTarget{tier: r.Tier, firstByte: r.FirstByte}
+		state := b.classes[r.Class]
+		state.tier, state.firstByte = r.Tier, r.FirstByte
+		b.classes[r.Class] = state
 	}
 	if p.Engine != nil {
 		annotated.preferred = p.preferredEngine(annotated)
@@ -315,7 +317,7 @@
 			}
 			choice := b.score(now, p, i, e, annotated)
 			// Without a wait limit only the cost counts.
-			inTime := limit <= 0 || (choice.Wait <= limit && !choice.Full && !choice.OutsidePartition && !choice.Recomputes)
+			inTime := !limit.isSet() || (!limit.exceededBy(choice) && !choice.Full && !choice.OutsidePartition && !choice.Recomputes)
 			if !found || (inTime && !bestInTime) || (inTime == bestInTime && choice.Cost < best.Cost) {
 				best, bestInTime, found = choice, inTime, true
 			}
--- a/internal/placement/wait_test.go
+++ b/internal/placement/wait_test.go
@@ -109,12 +109,12 @@
 	preferred := mustChoose(t, b, start, "p", r)
 	// The load that the test adds to the preferred engine raises its expected wait just above the limit.
 	limit := b.waitLimit(start, b.pools["p"], &annotatedRequest{Request: r})
-	if limit <= 0 {
+	if !limit.isSet() {
 		t.Fatal("the least urgent class has no wait limit")
 	}
 	p := b.pools["p"]
 	backlog := 0
-	for p.latency.predict(float64(backlog+30100)) <= limit {
+	for !limit.exceededBy(Choice{PrefillTokens: 30100, Wait: p.latency.predict(float64(backlog + 30100))}) {
 		backlog += 1000
 	}
 	e := b.byHash[preferred.Hash]
