Reject percentages that are no number and sizes that overflow

Cause: NaN passes both comparisons of a range check, and a size is multiplied by its unit without a check, so that it became negative. Both pass the later checks of the configuration. Ruled out: Duration, which Go's parser checks. Figures: TestUnitsOutOfRange fails on (NaN% accepted, 9223372036854775807GiB accepted as -1 GiB) and passes now.

--- a/config/units.go
+++ b/config/units.go
@@ -59,7 +59,7 @@
 func (p *Percent) UnmarshalText(b []byte) error {
 	number, ok := strings.CutSuffix(string(b), "%")
 	v, err := strconv.ParseFloat(number, 64)
-	if !ok || err != nil || v < 0 || v > 100 {
+	if !ok || err != nil || math.IsNaN(v) || v < 0 || v > 100 {
 		return fmt.Errorf("%q is not a percentage; write a number from 0%% to 100%%", b)
 	}
 	*p = Percent(v / 100)
@@ -94,7 +94,7 @@
 			continue
 		}
 		v, err := strconv.ParseInt(strings.TrimSpace(number), 10, 64)
-		if err != nil || v < 0 {
+		if err != nil || v < 0 || v > math.MaxInt64/u.bytes {
 			break
 		}
 		*s = Size(v * u.bytes)
