Do not lock the relay twice when a response cannot be continued

Cause: resumeOrFinish held the relay's mutex while it called finalFailure, which asks the relay whether a complete response is deliverable and locks it again: the request hung forever, with its caller. It happens when an endpoint answers the attempt to continue a response, whose header has gone out, with a complete error response. Ruled out: the other paths of finalFailure, which do not ask the relay. Figures: TestFailedResumptionEnds, no result within 5 s on, 502 at once now. Conclusion: the decision is taken under the lock and carried out outside of it.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -332,6 +332,33 @@
 // resumeOrFinish returns nil when another attempt can repeat or continue the response, and the final result
 // otherwise. A response that already has the maximum number of tokens is finished here.
 func (r *run) resumeOrFinish(res endpoint.Result) *finalResult {
+	switch r.continuation() {
+	case cannotContinue:
+		return r.finalFailure(res)
+	case finishedAtMaxTokens:
+		return &finalResult{complete: true, status: http.StatusOK}
+	case callerLeft:
+		return &finalResult{err: callerGoneError()}
+	}
+	return nil
+}
+
+// continuation says how a response can go on after a failed attempt.
+type continuation int
+
+const (
+	// canContinue: another attempt can repeat or continue the response.
+	canContinue continuation = iota
+	cannotContinue
+	// finishedAtMaxTokens: the response had the maximum number of tokens and has been finished.
+	finishedAtMaxTokens
+	// callerLeft: the caller disconnected before the response could be finished.
+	callerLeft
+)
+
+// continuation determines how the response can go on, and finishes it if it has the maximum number of tokens. It holds
+// the relay's mutex, so it must not call other methods of the relay that lock it.
+func (r *run) continuation() continuation {
 	l := r.relay
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -340,17 +367,17 @@
 		if l.tokens > 0 {
 			r.dispatcher.counters.resumes.Inc(1)
 		}
-		return nil
+		return canContinue
 	case l.tokens == 0 && r.req.Stream:
-		return nil
+		return canContinue
 	case l.tokens == 0, l.hasTextlessToken, !r.req.Resumable:
-		return r.finalFailure(res)
+		return cannotContinue
 	case l.maxTokensReachedLocked():
 		if err := l.finishAtMaxTokens(); err != nil {
-			return &finalResult{err: callerGoneError()}
+			return callerLeft
 		}
-		return &finalResult{complete: true, status: http.StatusOK}
+		return finishedAtMaxTokens
 	}
 	r.dispatcher.counters.resumes.Inc(1)
-	return nil
+	return canContinue
 }
