Do not confirm ledger records that cannot be stored

Cause: a record with invalid UTF-8 cannot be encoded; groupTxn logged that, left it out of the transaction and the group was confirmed. After a finish with such a content type, which comes from the endpoint, the stored record stayed an intent. Change: the content type is made valid, and a group with a record that cannot be encoded is refused as unavailable. Ruled out: calls from other daemons, whose encoding fails before.

--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
@@ -161,7 +162,14 @@
 // commit runs the transaction of a group and replies to its actions. A changed key without a record is
 // deleted. It returns false if the partition is lost.
 func (p *partition) commit(ctx context.Context, g *group) bool {
-	txn, next := p.groupTxn(g)
+	txn, next, err := p.groupTxn(g)
+	if err != nil {
+		// Nothing is written, so nothing may be confirmed.
+		p.ledger.Log.Error("ledger record cannot be encoded", "error", err)
+		p.ledger.counters.unavailable.Inc(int64(len(g.actions)))
+		g.sendAll(unavailableReply())
+		return !p.role.Lost()
+	}
 	p.ledger.counters.transactions.Inc(1)
 	// Not cancelled by a stop: without the reply the callers would not learn the outcome.
 	reply, err := p.ledger.KV.Txn(context.WithoutCancel(ctx), txn)
@@ -182,8 +190,8 @@
 }
 
 // groupTxn returns the transaction that writes the changed records, the next position and the audit
-// entries, and the next position.
-func (p *partition) groupTxn(g *group) (platform.Txn, position) {
+// entries, and the next position. The error states which record cannot be encoded.
+func (p *partition) groupTxn(g *group) (platform.Txn, position, error) {
 	next := p.position
 	next.number++
 	txn := p.positionTxn(&next, g.audit)
@@ -195,12 +203,11 @@
 		}
 		raw, err := proto.Marshal(record)
 		if err != nil {
-			p.ledger.Log.Error("ledger record cannot be encoded", "key", key, "error", err)
-			continue
+			return platform.Txn{}, position{}, oops.With("step", "encode ledger record").With("key", key).Wrap(err)
 		}
 		txn.Then = append(txn.Then, platform.Op{Key: key, Value: raw})
 	}
-	return txn, next
+	return txn, next, nil
 }
 
 // positionTxn returns a transaction that writes the next position and the audit entries, after adding the
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -217,6 +217,36 @@
 	})
 }
 
+// TestUnencodableRecord guards against confirming a change that was not stored: a later owner would find the old record.
+func TestUnencodableRecord(t *testing.T) {
+	runFleet(t, []string{"a", "b", "c"}, func(t *testing.T, f *fleet) {
+		key := Key("w", "/r", "1")
+		owner := f.owner(key)
+		var live []string
+		var other *daemon
+		for _, d := range f.daemons {
+			if d != owner {
+				live, other = append(live, d.id), d
+			}
+		}
+		if reply, err := owner.Do(t.Context(), request(actBegin, key, owner.id, "\xff", "body")); err == nil && reply.Result == begun {
+			t.Error("an intent that cannot be encoded was confirmed")
+		}
+		owner.do(t.Context(), actBegin, key, "r1", "body")
+		req := request(actFinish, key, owner.id, "r1", "body")
+		req.Record.ContentType = "text/plain; charset=\xff"
+		if reply, err := owner.Do(t.Context(), req); err != nil || reply.Result != done {
+			t.Fatalf("finish: %v, %v", reply, err)
+		}
+		f.disconnect(owner)
+		f.setLive(live...)
+		time.Sleep(DefaultLeaseTTL + 2*reconcileInterval)
+		if got, record := other.do(t.Context(), actLookup, key, "r2", "body"); got != exists || record.State != peer.LedgerRecord_STATE_DONE {
+			t.Errorf("lookup at the new owner: %s, %v", got, record)
+		}
+	})
+}
+
 // TestTakeover guards against records that are lost or begun again when their owner crashes, leaves or
 // is cut off, and against a partition that stays without an owner.
 func TestTakeover(t *testing.T) {
--- a/internal/ledger/rules.go
+++ b/internal/ledger/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -108,9 +109,10 @@
 	return outcome{result: peer.LedgerReply_RESULT_DONE, record: record, change: changeWrite}
 }
 
-// setResponse copies a response into a record. A body above MaxResponseBytes is left out.
+// setResponse copies a response into a record. A body above MaxResponseBytes is left out. Invalid UTF-8 in the content
+// type, which comes from the endpoint, is replaced, because a record with it cannot be encoded.
 func setResponse(record, from *peer.LedgerRecord) {
-	record.Status, record.ContentType = from.GetStatus(), from.GetContentType()
+	record.Status, record.ContentType = from.GetStatus(), strings.ToValidUTF8(from.GetContentType(), "\uFFFD")
 	record.AnswerKept = from.GetAnswerKept() && len(from.GetAnswer()) <= MaxResponseBytes
 	if record.AnswerKept {
 		record.Answer = from.GetAnswer()
