--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -13,9 +13,11 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/chivewind/chivewind/internal/entry"
 	"github.com/chivewind/chivewind/internal/fleet"
+	"github.com/chivewind/chivewind/peer"
 	"github.com/chivewind/chivewind/platform/managed"
 )
 
@@ -197,6 +199,21 @@
 	}
 }
 
+// TestCrashReportsArePassedOn guards against a crash that only some daemons of a large fleet learn of: there a daemon
+// reports to few others. A crash that is known already must not be passed on again.
+func TestCrashReportsArePassedOn(t *testing.T) {
+	s := startSystem(t, unreachedTimeoutMs, startEndpoint(t, "1", func(int, net.Conn, *http.Request) {}))
+	crash := &peer.Crash{Request: 7, Endpoint: "s1", Id: 3}
+	for range 3 {
+		s.HandleReport(&peer.Report{Daemon: "other", Crashes: []*peer.Crash{crash}})
+	}
+	r := &peer.Report{}
+	s.FillReport(r, false)
+	if len(r.Crashes) != 1 || !proto.Equal(r.Crashes[0], crash) {
+		t.Errorf("reported crashes: %v", r.Crashes)
+	}
+}
+
 // panicCodec panics when the headers for an endpoint are built.
 type panicCodec struct{ managed.HeaderCodec }
 
