--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -123,7 +123,8 @@
 func (f *Fleet) Start(ctx context.Context) {
 	go f.receiveLoop()
 	go f.reportLoop(ctx)
-	go f.rosterLoop(ctx)
+	go f.publishRosterLoop(ctx)
+	go f.pullRosterLoop(ctx)
 	go f.replicateStore(ctx)
 	go f.runAntiEntropy(ctx)
 	go f.keepRegistered(ctx)
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -21,8 +21,8 @@
 	// largeFleetReportInterval is the same for a larger fleet. It can be longer, because the scheduler is also informed
 	// of each request separately.
 	largeFleetReportInterval = 400 * time.Millisecond
-	// rosterInterval is how often a relay checks whether its roster has changed, and rosterCheckInterval how often other
-	// daemons check whether they have the rosters of the relays.
+	// rosterInterval is how often a relay checks whether its roster has changed, and rosterCheckInterval how often a
+	// daemon checks whether it has the rosters of the relays.
 	rosterInterval      = 100 * time.Millisecond
 	rosterCheckInterval = 500 * time.Millisecond
 	// maxLoadRecipients is the maximum number of daemons that receive full reports in a larger fleet: the first ones in
@@ -87,24 +87,26 @@
 	return smallFleetReportInterval
 }
 
-// rosterLoop updates the roster of this daemon while it is a relay, and sends each change to all daemons. If a roster of
-// another relay differs from the one that it sends changes of, it is pulled.
-func (f *Fleet) rosterLoop(ctx context.Context) {
-	interval := rosterInterval
+// publishRosterLoop updates the roster of this daemon while it is a relay, and sends each change to all daemons.
+func (f *Fleet) publishRosterLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleepContext(ctx, interval)
-		now := time.Now()
+		sleepContext(ctx, rosterInterval)
 		f.mu.Lock()
-		interval = rosterCheckInterval
-		if f.members.IsRelay() {
-			interval = rosterInterval
-		}
-		changed := f.members.PublishRoster(now, rosterEntry{incarnation: f.incarnation, state: f.selfState})
-		source := f.members.RosterSource(now)
+		changed := f.members.PublishRoster(time.Now(), rosterEntry{incarnation: f.incarnation, state: f.selfState})
 		f.mu.Unlock()
 		if changed {
 			f.sendReports(heartbeatAudience, false)
 		}
+	}
+}
+
+// pullRosterLoop pulls rosters of relays that this daemon knows incompletely.
+func (f *Fleet) pullRosterLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleepContext(ctx, rosterCheckInterval)
+		f.mu.Lock()
+		source := f.members.RosterSource(time.Now())
+		f.mu.Unlock()
 		if source != nil {
 			f.pullRoster(ctx, source)
 		}
--- a/internal/fleet/roster.go
+++ b/internal/fleet/roster.go
@@ -78,6 +78,16 @@
 	until  time.Time
 }
 
+// ownRoster is the roster that this daemon sends as a relay.
+type ownRoster struct {
+	// roster is nil if this daemon is no relay. Otherwise it has been one since the given time.
+	roster *roster
+	since  time.Time
+	// changes are the latest changes, and version counts all of them.
+	changes []rosterChange
+	version int
+}
+
 // daemonStates maps the states of members on a roster. All others stand for a daemon that is not heard.
 var daemonStates = map[peer.MemberState]peer.DaemonState{
 	peer.MemberState_MEMBER_STATE_STARTING: peer.DaemonState_DAEMON_STATE_STARTING,
@@ -213,66 +223,66 @@
 // have sent it a report. A daemon that is no relay has no roster.
 func (m *Members) PublishRoster(now time.Time, self rosterEntry) bool {
 	if !m.isLarge() || !m.IsRelay() {
-		m.own, m.ownSince, m.ownChanges = nil, time.Time{}, nil
+		m.own = ownRoster{}
 		return false
 	}
-	if m.own == nil {
-		m.own, m.ownSince = newRoster(), now
+	if m.own.roster == nil {
+		m.own.roster, m.own.since = newRoster(), now
 	}
-	version := m.ownVersion
+	version := m.own.version
 	m.updateOwnEntry(now, m.self.Daemon, m.self, self, true)
 	for id, member := range m.members {
-		heard := m.heardDirectly(now, member) || (now.Sub(m.ownSince) < rosterChangeTTL && m.isLive(now, member))
+		heard := m.heardDirectly(now, member) || (now.Sub(m.own.since) < rosterChangeTTL && m.isLive(now, member))
 		m.updateOwnEntry(now, id, member.Identity, rosterEntry{incarnation: member.Incarnation, state: member.State}, heard)
 	}
-	for id := range m.own.entries {
+	for id := range m.own.roster.entries {
 		if m.members[id] == nil && id != m.self.Daemon {
 			m.updateOwnEntry(now, id, &peer.Identity{Daemon: id}, rosterEntry{}, false)
 		}
 	}
-	return m.ownVersion > version
+	return m.own.version > version
 }
 
 // updateOwnEntry records the state of one daemon on this daemon's roster.
 func (m *Members) updateOwnEntry(now time.Time, id string, identity *peer.Identity, e rosterEntry, heard bool) {
-	old, listed := m.own.entries[id]
+	old, listed := m.own.roster.entries[id]
 	if heard == listed && (!listed || old == e) {
 		return
 	}
 	change := &peer.Member{Id: id, State: peer.MemberState_MEMBER_STATE_DEAD}
 	if heard {
-		m.own.set(id, e)
+		m.own.roster.set(id, e)
 		change = memberFromIdentity(identity)
 		change.Incarnation, change.State = e.incarnation, memberState(e.state)
 	} else {
-		m.own.remove(id)
+		m.own.roster.remove(id)
 	}
-	m.ownChanges = slices.DeleteFunc(m.ownChanges, func(c rosterChange) bool { return c.member.Id == id })
-	m.ownChanges = append(m.ownChanges, rosterChange{member: change, until: now.Add(rosterChangeTTL)})
-	m.ownVersion++
+	m.own.changes = slices.DeleteFunc(m.own.changes, func(c rosterChange) bool { return c.member.Id == id })
+	m.own.changes = append(m.own.changes, rosterChange{member: change, until: now.Add(rosterChangeTTL)})
+	m.own.version++
 }
 
 // RosterChanges returns the latest changes of this daemon's roster, oldest first, and the digest of the roster. The
 // digest is 0 if this daemon is no relay.
 func (m *Members) RosterChanges(now time.Time) ([]*peer.Member, uint64) {
-	if m.own == nil {
+	if m.own.roster == nil {
 		return nil, 0
 	}
-	m.ownChanges = slices.DeleteFunc(m.ownChanges, func(c rosterChange) bool { return now.After(c.until) })
+	m.own.changes = slices.DeleteFunc(m.own.changes, func(c rosterChange) bool { return now.After(c.until) })
 	var changes []*peer.Member
-	for _, c := range m.ownChanges[max(len(m.ownChanges)-maxRosterChanges, 0):] {
+	for _, c := range m.own.changes[max(len(m.own.changes)-maxRosterChanges, 0):] {
 		changes = append(changes, c.member)
 	}
-	return changes, m.own.digest
+	return changes, m.own.roster.digest
 }
 
 // OwnRoster returns the complete roster of this daemon, sorted by name, or nil if it is no relay.
 func (m *Members) OwnRoster() []*peer.Member {
-	if m.own == nil {
+	if m.own.roster == nil {
 		return nil
 	}
-	members := make([]*peer.Member, 0, len(m.own.entries))
-	for id, e := range m.own.entries {
+	members := make([]*peer.Member, 0, len(m.own.roster.entries))
+	for id, e := range m.own.roster.entries {
 		members = append(members, &peer.Member{Id: id, Incarnation: e.incarnation, State: memberState(e.state)})
 	}
 	slices.SortFunc(members, func(a, b *peer.Member) int { return cmp.Compare(a.Id, b.Id) })
--- /dev/null
+++ b/internal/fleet/simstore_test.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/chivewind/chivewind/platform"
+)
+
+// simStore is a key-value store.
+type simStore struct {
+	mu       sync.Mutex
+	revision int64
+	events   []platform.KeyValue
+	items    map[string]platform.KeyValue
+	changed  chan struct{}
+	calls    int
+	byKind   map[string]int
+	down     bool
+}
+
+func newSimStore() *simStore {
+	return &simStore{revision: 10, items: map[string]platform.KeyValue{}, changed: make(chan struct{}), byKind: map[string]int{}}
+}
+
+func (s *simStore) put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	kv := platform.KeyValue{Key: key, Value: value, ModRevision: s.revision}
+	s.items[key] = kv
+	s.events = append(s.events, kv)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// simKV is the access of one daemon to the store.
+type simKV struct{ d *simDaemon }
+
+// call counts a call and waits for the reply.
+func (k *simKV) call(ctx context.Context, kind string) error {
+	sleepContext(ctx, simStoreDelay)
+	s := k.d.sim.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	s.byKind[kind]++
+	if s.down || k.d.noStore || ctx.Err() != nil {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (k *simKV) Range(ctx context.Context, r platform.RangeRequest) (platform.RangeReply, error) {
+	kind := "range"
+	if r.Stale {
+		kind = "stale range"
+	}
+	if err := k.call(ctx, kind); err != nil {
+		return platform.RangeReply{}, err
+	}
+	s := k.d.sim.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := platform.RangeReply{Revision: s.revision}
+	for _, kv := range s.items {
+		reply.KVs = append(reply.KVs, kv)
+	}
+	return reply, nil
+}
+
+func (k *simKV) Watch(ctx context.Context, _ string, from int64) (<-chan platform.WatchReply, error) {
+	replies := make(chan platform.WatchReply)
+	go func() {
+		defer close(replies)
+		for ctx.Err() == nil {
+			reply := k.poll(ctx, from)
+			from = max(from, reply.Revision+1)
+			select {
+			case replies <- reply:
+			case <-ctx.Done():
+			}
+			if reply.Err != nil {
+				return
+			}
+		}
+	}()
+	return replies, nil
+}
+
+// poll waits for up to 2 s for events.
+func (k *simKV) poll(ctx context.Context, from int64) platform.WatchReply {
+	s := k.d.sim.store
+	s.mu.Lock()
+	changed, current := s.changed, s.revision
+	s.mu.Unlock()
+	if current < from {
+		select {
+		case <-changed:
+		case <-time.After(2 * time.Second):
+		case <-ctx.Done():
+		}
+	}
+	if err := k.call(ctx, "watch"); err != nil {
+		return platform.WatchReply{Err: err}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := platform.WatchReply{Revision: s.revision}
+	for _, kv := range s.events {
+		if kv.ModRevision >= from {
+			reply.Events = append(reply.Events, platform.Event{KV: kv})
+		}
+	}
+	return reply
+}
+
+func (k *simKV) Txn(ctx context.Context, t platform.Txn) (platform.TxnReply, error) {
+	if err := k.call(ctx, "txn"); err != nil {
+		return platform.TxnReply{}, err
+	}
+	for _, op := range t.Then {
+		k.d.sim.store.put(op.Key, op.Value)
+	}
+	return platform.TxnReply{Succeeded: true}, nil
+}
+
+func (k *simKV) Grant(ctx context.Context, _ time.Duration) (platform.LeaseID, error) {
+	return 1, k.call(ctx, "grant")
+}
+
+func (k *simKV) KeepAlive(ctx context.Context, _ platform.LeaseID) (time.Duration, error) {
+	return time.Minute, k.call(ctx, "keep")
+}
+
+func (k *simKV) Revoke(ctx context.Context, _ platform.LeaseID) error { return k.call(ctx, "revoke") }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -296,8 +296,6 @@
 		state := b.classes[r.Class]
 		state.tier, state.firstByte = r.Tier, r.FirstByte
 		b.classes[r.Class] = state
-	}
-	if p.Engine != nil {
 		annotated.preferred = p.preferredEngine(annotated)
 		annotated.sharedKnown = b.cache.sharedPrefixKnown(r.Chain)
 		annotated.copySources = b.cache.findCopySources(r.Chain, func(engine uint32) bool {
