Hold at most 128 KiB of an answer in memory

Cause: an event without an end was held up to 1 MiB and a body up to 512 KiB; 200 such answers took 112 MB of heap, all memory of the smallest VM (112 MB, of which 0.6 is the heap's limit). Ruled out: bodies without a length: io.ReadAll grows with what arrives, and the rest is passed on; 23 MB before. A longer body than 128 KiB is passed on as it arrives, and can then no longer be replaced by another attempt's.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -18,11 +18,11 @@
 const (
 	// maxBufferedResponse is the size, in bytes, up to which a response is buffered until it is complete, so that
 	// another attempt can replace a truncated one.
-	maxBufferedResponse = 512 << 10
+	maxBufferedResponse = 128 << 10
 	// streamBufferSize is the size of the read buffer for streams, in bytes.
 	streamBufferSize = 8 << 10
 	// maxEventSize is the maximum size of one event of a stream, in bytes.
-	maxEventSize = 1 << 20
+	maxEventSize = 128 << 10
 	// writeGrace is the time after the request's deadline in which the caller may still read the response.
 	writeGrace = time.Second
 )
--- a/internal/entry/trouble_test.go
+++ b/internal/entry/trouble_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -117,3 +119,65 @@
 		t.Error("an incomplete request was sent to an endpoint")
 	}
 }
+
+// TestTroubleEndlessAnswersMemory guards against answers without an end that fill the memory of the smallest VM, which
+// would take the daemon with all of its requests down.
+func TestTroubleEndlessAnswersMemory(t *testing.T) {
+	const (
+		connections = 200
+		timeoutMs   = 3000
+		// vmMemory is the memory of the smallest VM, of which the daemon uses 0.6 for its heap.
+		vmMemory = 112 << 20
+		limit    = vmMemory * 6 / 10
+	)
+	block := bytes.Repeat([]byte("x"), 900<<10)
+	for _, c := range []struct{ desc, path, start string }{
+		{"events", "/stream/1", "id: 1\ndata: "},
+		{"bodies without a length", "/once/1", ""},
+	} {
+		e := startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) {
+			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\n\r\n%s", r.Header.Get("Attempt-Id"), c.start)
+			_, _ = w.Write(block)
+			// The rest of the answer never comes.
+			_, _ = w.Read(make([]byte, 1))
+		})
+		s := startSystem(t, timeoutMs, e)
+		runtime.GC()
+		previous := debug.SetMemoryLimit(limit)
+		before := heapBytes()
+		ended := make(chan struct{}, connections)
+		for range connections {
+			go func() {
+				// Nothing reads the answer, so the daemon cannot pass it on.
+				conn, err := net.Dial("tcp", s.httpServer.Listener.Addr().String())
+				if err == nil {
+					fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\nAuthorization: Token k1\r\nContent-Length: 0\r\n\r\n", c.path)
+					time.Sleep(timeoutMs * time.Millisecond)
+					_ = conn.Close()
+				}
+				ended <- struct{}{}
+			}()
+		}
+		peak := uint64(0)
+		for range 20 {
+			time.Sleep(timeoutMs * time.Millisecond / 20)
+			peak = max(peak, heapBytes())
+		}
+		for range connections {
+			<-ended
+		}
+		debug.SetMemoryLimit(previous)
+		used := max(peak, before) - before
+		t.Logf("%s: %d MB for %d connections", c.desc, used>>20, connections)
+		if used > limit {
+			t.Errorf("%s: %d MB for %d connections, want at most %d MB", c.desc, used>>20, connections, limit>>20)
+		}
+	}
+}
+
+// heapBytes returns the size of the objects on the heap that the latest garbage collection found in use, or newer.
+func heapBytes() uint64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
