Reject responses without an ID on reused connections

Cause: a response without an ID and with a status of 300 or more was taken for the answer to the request that was written last. On a reused connection it may be a late copy of an answer to an earlier request, and a late refusal then says that the current request has not run although it runs: it would be sent to another endpoint, or its caller told a falsehood. Seen with TestTroubleLateCopy, whose new case 'error without ID' fails on the code before (a request got the copy, status 503). Ruled out: skipping such a response and waiting for another one, since the caller of an endpoint that names no ID at all would wait until its deadline. Now the request ends as one that may have run and the connection is closed; on a new connection nothing changes.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,6 +32,11 @@
 // errHeadTooLarge means that an endpoint sent maxHeadBytes without completing the header of a response.
 var errHeadTooLarge = fmt.Errorf("response header exceeds %d bytes", maxHeadBytes)
 
+// errUnattributable means that a response without an ID arrived on a connection that had carried earlier requests. It may
+// be a late response to one of them, so that what it says, for example that a request was not executed, need not be true
+// of the current request.
+var errUnattributable = errors.New("response without an ID on a reused connection")
+
 // errUnsent marks a write that failed before any byte was sent.
 var errUnsent = errors.New("nothing was written")
 
@@ -115,7 +120,11 @@
 		if err != nil {
 			return nil, c.closeAndCheckSent(writeResult), err
 		}
-		if got := parseHead(head.StatusCode, head.Header); !matchesAttempt(got.AttemptID, r.AttemptID, head.StatusCode) {
+		got := parseHead(head.StatusCode, head.Header)
+		if c.reused && got.AttemptID == "" && r.AttemptID != "" && head.StatusCode >= http.StatusMultipleChoices {
+			return nil, true, errUnattributable
+		}
+		if !matchesAttempt(got.AttemptID, r.AttemptID, head.StatusCode) {
 			if n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxSkippedBody)); err != nil || n == maxSkippedBody {
 				return nil, true, fmt.Errorf("answer of another request: %w", errors.Join(err, io.ErrUnexpectedEOF))
 			}
@@ -127,7 +136,8 @@
 }
 
 // matchesAttempt reports whether a response with the ID got belongs to the request with the ID want. A response
-// without an ID matches if the request has none either or the status is 300 or above.
+// without an ID matches if the request has none either or the status is 300 or above; exchange has rejected the latter on
+// reused connections.
 func matchesAttempt(got, want string, status int) bool {
 	if got == "" {
 		return want == "" || status >= http.StatusMultipleChoices
--- a/internal/upstream/latecopy_test.go
+++ b/internal/upstream/latecopy_test.go
@@ -27,9 +27,10 @@
 // the next caller must get its own answer or an error, however the bytes are split over packets.
 func TestTroubleLateCopy(t *testing.T) {
 	copies := map[string]func(id string) string{
-		"own ID":         func(id string) string { return response(id, "answer "+id) },
-		"no ID":          func(id string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nanswer " + id[len(id)-1:] },
-		"truncated head": func(id string) string { return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Le" },
+		"own ID":           func(id string) string { return response(id, "answer "+id) },
+		"no ID":            func(id string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nanswer " + id[len(id)-1:] },
+		"error without ID": func(string) string { return "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n" },
+		"truncated head":   func(id string) string { return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Le" },
 		"truncated body": func(id string) string {
 			return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 400\r\n\r\nanswer " + id
 		},
@@ -38,7 +39,7 @@
 		},
 	}
 	rapid.Check(t, func(rt *rapid.T) {
-		copyOf := copies[rapid.SampledFrom([]string{"own ID", "no ID", "truncated head", "truncated body", "stream"}).Draw(rt, "copy")]
+		copyOf := copies[rapid.SampledFrom([]string{"own ID", "no ID", "error without ID", "truncated head", "truncated body", "stream"}).Draw(rt, "copy")]
 		when := rapid.SampledFrom([]string{"after the answer", "before the next request", "amid the next request"}).Draw(rt, "when")
 		offsets := rapid.SliceOfN(rapid.IntRange(1, 60), 0, 3).Draw(rt, "offsets")
 		address := startServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
