Send requests with an idempotency key and no body on new connections

Cause: net/http takes the header Idempotency-Key or X-Idempotency-Key for permission to resend a request on a reused connection that breaks; a request without a body, such as a PUT, then runs a second time after its answer was lost. Ruled out: a body that cannot be rewound, which the transport would send chunked; removing the header, which the service must get unchanged. Requests on new connections are never resent.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -72,7 +72,7 @@
 	responseStarted atomic.Bool
 }
 
-// Send sends the request once, on a new connection if fresh is set. The caller must close the response
+// Send sends the request once, on a new connection if fresh is set or needsFreshConnection requires it. The caller must close the response
 // body. The exchange is not nil even if an error is returned, so that Sent and Stale can be called.
 func (c *Client) Send(req *http.Request, fresh bool) (*Exchange, error) {
 	x := &Exchange{}
@@ -87,7 +87,7 @@
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	preventReplay(req)
 	t := c.pooled
-	if fresh {
+	if fresh || needsFreshConnection(req) {
 		t = c.fresh
 	}
 	resp, err := t.RoundTrip(req)
@@ -99,10 +99,13 @@
 // requests without a body or with GetBody when a reused connection breaks. A request without a body stays
 // as it is if its method usually has one, such as POST, because the transport would send an added empty body with
 // a chunked encoding, which some services reject. On a reused connection the transport resends such a request if
-// it wrote nothing of it, or if the request has the header Idempotency-Key or X-Idempotency-Key.
+// it wrote nothing of it, or if the request has an idempotency key; see needsFreshConnection.
 func preventReplay(req *http.Request) {
 	req.GetBody = nil
-	if req.Body != nil && req.Body != http.NoBody {
+	if req.Body == http.NoBody {
+		req.Body = nil
+	}
+	if req.Body != nil {
 		return
 	}
 	switch req.Method {
@@ -111,6 +114,12 @@
 	}
 }
 
+// needsFreshConnection reports whether the transport would take the request's idempotency key for permission to resend it
+// when a reused connection breaks. Transports never resend requests on new connections.
+func needsFreshConnection(req *http.Request) bool {
+	return req.Body == nil && (req.Header.Get("Idempotency-Key") != "" || req.Header.Get("X-Idempotency-Key") != "")
+}
+
 // eofReader is an empty body that the transport does not recognize as such.
 type eofReader struct{}
 
--- a/modules/endpoint/plain/plain_test.go
+++ b/modules/endpoint/plain/plain_test.go
@@ -140,13 +140,7 @@
 // Guards against an HTTP client that automatically resends a request after the service closed its pooled
 // connection without a response.
 func TestClientNeverRepeats(t *testing.T) {
-	var arrived atomic.Int32
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if arrived.Add(1) > 1 {
-			panic(http.ErrAbortHandler)
-		}
-	}))
-	defer server.Close()
+	server, arrived := abortingServer(t)
 	k := plain.New()
 	a := attempt(server.URL, http.MethodGet, "")
 	if got := k.Do(context.Background(), a, &recorder{}); !got.Complete {
@@ -161,6 +155,39 @@
 	}
 }
 
+// abortingServer starts a server that answers its first request and then closes the connection of each further one. It
+// counts the requests.
+func abortingServer(t *testing.T) (*httptest.Server, *atomic.Int32) {
+	arrived := &atomic.Int32{}
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if arrived.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server, arrived
+}
+
+// Guards against a second run of a request without a body whose answer was lost on a pooled connection: the HTTP client
+// takes an idempotency key for permission to resend the request, although the service may ignore the key.
+func TestTroubleLostAnswerIsNotRepeated(t *testing.T) {
+	for _, header := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		server, arrived := abortingServer(t)
+		k := plain.New()
+		a := attempt(server.URL, http.MethodPut, "")
+		a.Request.Header = http.Header{header: {"key-1"}}
+		if got := k.Do(context.Background(), a, &recorder{}); !got.Complete {
+			t.Fatalf("%s: first request: %+v", header, got)
+		}
+		if got := k.Do(context.Background(), a, &recorder{}); !got.Sent || got.Complete || got.NotRun {
+			t.Errorf("%s: request without an answer: %+v", header, got)
+		}
+		if n := arrived.Load(); n != 2 {
+			t.Errorf("%s: %d requests arrived, want 2", header, n)
+		}
+	}
+}
+
 // Guards against a response without a length or an end marker that is taken for complete when its
 // connection closes.
 func TestLengthUnknown(t *testing.T) {
