Do not mix an engine's error body with the stream of the next attempt

Cause: the body of an error with the type text/event-stream was written to the caller at once, and of a longer error than the buffer the first part; another attempt was made nevertheless, and its events followed the error. Engine errors are now buffered, and a request whose body has begun to be written is not tried again.

--- a/internal/dispatch/continuation_test.go
+++ b/internal/dispatch/continuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,3 +30,37 @@
 		t.Fatal("no result within 5 s")
 	}
 }
+
+// TestTroubleErrorBodyBeforeStream guards against a stream that begins with the error of an endpoint which another one
+// has replaced, and against one that follows an error too long to be buffered.
+func TestTroubleErrorBodyBeforeStream(t *testing.T) {
+	for _, c := range []struct {
+		desc        string
+		body        string
+		replaceable bool
+	}{
+		{"short error", "data: overloaded\n\n", true},
+		{"error beyond the buffer", strings.Repeat("x", maxBufferedBody+1), false},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			out := &recordedResponse{}
+			req := &Request{Pool: config.Pool{Kind: config.KindEngine}}
+			req.Stream = true
+			relay := newRelay(req, out)
+			first := relay.beginAttempt(1, stubSlot{})
+			if err := first.Head(http.StatusInternalServerError, http.Header{"Content-Type": {"text/event-stream"}}); err != nil {
+				t.Fatal(err)
+			}
+			if err := first.Body([]byte(c.body)); err != nil {
+				t.Fatal(err)
+			}
+			r := &run{req: req, relay: relay, dispatcher: &Dispatcher{}}
+			if got := r.continuation() == canContinue; got != c.replaceable {
+				t.Errorf("another attempt may follow: %v, want %v", got, c.replaceable)
+			}
+			if sent := out.body.Len() > 0; sent == c.replaceable {
+				t.Errorf("error sent to the caller: %v, want %v", sent, !c.replaceable)
+			}
+		})
+	}
+}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -37,8 +37,10 @@
 	mu sync.Mutex
 	// currentAttempt is the number of the attempt whose events are accepted. Zero accepts none.
 	currentAttempt uint32
-	// headerSent reports whether the header has been sent to the caller.
+	// headerSent reports whether the header has been sent to the caller, and bodySent whether it was that of a
+	// non-streaming response, which no other attempt can continue.
 	headerSent bool
+	bodySent   bool
 	// tokens and text are the number and the text of the tokens received so far from a stream.
 	tokens int
 	text   []byte
@@ -128,6 +130,11 @@
 	return l.req.Pool.Kind == config.KindEngine && l.status == http.StatusOK && isEventStream(l.header)
 }
 
+// isEngineErrorLocked reports whether the response of the current attempt is an engine's error. mu must be held.
+func (l *relay) isEngineErrorLocked() bool {
+	return l.req.Pool.Kind == config.KindEngine && l.status != http.StatusOK
+}
+
 // maxTokensReachedLocked reports whether the response has as many tokens as the request allows. mu must be
 // held.
 func (l *relay) maxTokensReachedLocked() bool {
@@ -184,8 +191,8 @@
 	if !l.headerSent {
 		l.body = append(l.body, p...)
 		// An event stream that arrives here, such as that of a plain service, is not buffered, so that the caller
-		// gets each event at once.
-		if len(l.body) <= maxBufferedBody && !isEventStream(l.header) {
+		// gets each event at once. An engine's error is buffered, because another attempt may replace it.
+		if len(l.body) <= maxBufferedBody && (!isEventStream(l.header) || l.isEngineErrorLocked()) {
 			return nil
 		}
 		if err := l.startBody(""); err != nil {
@@ -322,7 +329,7 @@
 // startBody sends the header of a non-streaming response. o is empty as long as the response is incomplete, so
 // that its length is not known. mu must be held.
 func (l *relay) startBody(o Outcome) error {
-	l.headerSent = true
+	l.headerSent, l.bodySent = true, true
 	header := http.Header{}
 	endpoint.CopyHeader(header, l.header)
 	switch {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -368,9 +368,9 @@
 			r.dispatcher.counters.resumes.Inc(1)
 		}
 		return canContinue
-	case l.tokens == 0 && r.req.Stream:
+	case l.tokens == 0 && r.req.Stream && !l.bodySent:
 		return canContinue
-	case l.tokens == 0, l.hasTextlessToken, !r.req.Resumable:
+	case l.tokens == 0, l.bodySent, l.hasTextlessToken, !r.req.Resumable:
 		return cannotContinue
 	case l.maxTokensReachedLocked():
 		if err := l.finishAtMaxTokens(); err != nil {
