Write each audit entry once and bound the time of a commit

Cause: (1) an entry whose write had lost its reply was queued without the sequence number under which it may be stored, and after a failed condition the number was dropped as well, so that the next try wrote a second entry; (2) Store.Attempt assumes that a change is over after a minute, and nothing enforced it. The sequence number now stays with the entry until a read shows whether it was written, and no transaction begins later than 30 s after the change. Ruled out: a duplicate by the store itself, the stand-in applies each transaction once.

--- a/internal/configstore/audit.go
+++ b/internal/configstore/audit.go
@@ -101,7 +101,7 @@
 func (s *Store) audit(ctx context.Context, e Entry) {
 	ctx, cancel := context.WithTimeout(ctx, auditTimeout)
 	defer cancel()
-	if s.writeEntry(ctx, e) == nil {
+	if s.writeEntry(ctx, &e) == nil {
 		return
 	}
 	s.mu.Lock()
@@ -113,29 +113,24 @@
 	s.pendingAudit = append(s.pendingAudit, e)
 }
 
-// writeEntry appends an entry to the audit trail. After a lost reply it checks whether the entry was
-// written before it tries again.
-func (s *Store) writeEntry(ctx context.Context, e Entry) error {
+// writeEntry appends an entry to the audit trail. It records the sequence number of each try in e, under which an
+// earlier try whose reply was lost, also one of an earlier call, may have written the entry.
+func (s *Store) writeEntry(ctx context.Context, e *Entry) error {
 	for range maxAuditTries {
 		position, err := s.readAuditPosition(ctx)
 		if err != nil {
 			return err
 		}
 		if e.Sequence != 0 {
-			// An earlier try may have written the entry under this sequence number.
-			if exists, err := s.hasEntry(ctx, e); exists || err != nil {
+			if exists, err := s.hasEntry(ctx, *e); exists || err != nil {
 				return err
 			}
 		}
-		txn := position.appendTxn(&e)
-		reply, err := s.KV.Txn(ctx, txn)
+		reply, err := s.KV.Txn(ctx, position.appendTxn(e))
 		if err == nil && reply.Succeeded {
 			return nil
 		}
-		if err == nil {
-			// The conditions failed, so this try wrote nothing. The next one takes a new sequence number.
-			e.Sequence = 0
-		} else if !errors.Is(err, platform.ErrOutcomeUnknown) {
+		if err != nil && !errors.Is(err, platform.ErrOutcomeUnknown) {
 			return err
 		}
 	}
--- a/internal/configstore/change.go
+++ b/internal/configstore/change.go
@@ -196,8 +196,10 @@
 }
 
 // commit builds the transaction of a change and commits it. If the transaction's conditions failed because
-// of a concurrent writer, it is rebuilt on the new state and tried again.
+// of a concurrent writer, it is rebuilt on the new state and tried again, for up to commitTimeout.
 func (s *Store) commit(ctx context.Context, e *Entry, build buildFunc) Result {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
 	for range maxCommitTries {
 		st, position, err := s.readState(ctx)
 		if err != nil {
@@ -220,6 +222,9 @@
 		if err != nil {
 			return Result{Outcome: Invalid, Reason: err.Error()}
 		}
+		if err := ctx.Err(); err != nil {
+			return Result{Outcome: Rejected, Reason: err.Error()}
+		}
 		reply, err := s.KV.Txn(ctx, txn)
 		switch {
 		case errors.Is(err, platform.ErrNotApplied):
--- a/internal/configstore/resolve.go
+++ b/internal/configstore/resolve.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -20,8 +21,9 @@
 	// maxUnresolved is the number of attempts with unknown outcome that are held in memory and resolved
 	// in the background.
 	maxUnresolved = 256
-	// maxChangeDuration is the age from which a change is assumed to be no longer in progress on any daemon. No
-	// time limit enforces this.
+	// commitTimeout is the time limit for committing a change, and maxChangeDuration the age from which a change is no
+	// longer in progress on any daemon: commitTimeout and resolveTimeout have passed by then.
+	commitTimeout     = 30 * time.Second
 	maxChangeDuration = time.Minute
 )
 
@@ -258,15 +260,17 @@
 	}
 	entry := s.pendingAudit[0]
 	s.mu.Unlock()
-	if s.writeEntry(ctx, entry) != nil {
-		return false
-	}
+	err := s.writeEntry(ctx, &entry)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pendingAudit = removeFirst(s.pendingAudit, func(e Entry) bool {
-		return e.Attempt == entry.Attempt && e.Outcome == entry.Outcome
-	})
-	return true
+	same := func(e Entry) bool { return e.Attempt == entry.Attempt && e.Outcome == entry.Outcome }
+	if err == nil {
+		s.pendingAudit = removeFirst(s.pendingAudit, same)
+	} else if i := slices.IndexFunc(s.pendingAudit, same); i >= 0 {
+		// The next try must know the sequence number under which this one may have written the entry.
+		s.pendingAudit[i].Sequence = entry.Sequence
+	}
+	return err == nil
 }
 
 // removeFirst returns a copy of the list without the first element that matches, or the list itself if none
