Keep the failures of endpoints that cannot be ejected; serialize the scheduler's configuration

Causes: (1) Monitor.Crashed reset the failures of an endpoint also when the bound on ejections kept it in use, so that it needed five more failures once others were back; TestCrashBeyondTheLimit fails on the code before. (2) The configuration store and the VM watcher both set the draining endpoints, each from what it had read before; the older set could overwrite the newer. One mutex now covers reading and setting; no test without a hook between both can show it. (3) The node never stopped the key-value and VM list modules.

--- a/internal/bench/independent.go
+++ b/internal/bench/independent.go
@@ -134,3 +134,10 @@
 	}
 	sum.Classes = append(sum.Classes, c)
 }
+
+// EnginePriority reports whether requests are sent to the engine with their tier as the priority, as the daemons' policy
+// chooses.
+func (f *independentSchedulers) EnginePriority() bool {
+	p, ok := f.daemons[0].(prioritizer)
+	return !ok || p.EnginePriority()
+}
--- a/internal/bench/policies_test.go
+++ b/internal/bench/policies_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"strings"
 	"testing"
 )
@@ -31,10 +32,14 @@
 		}
 	}
 	if *daemonsFlag > 0 {
-		var err error
-		if o.Variants, err = IndependentVariant("policy.tiered", *daemonsFlag); err != nil {
+		independent, err := IndependentVariant("policy.tiered", *daemonsFlag)
+		if err != nil {
 			b.Fatal(err)
 		}
+		if o.Variants == nil {
+			o.Variants = independent
+		}
+		maps.Copy(o.Variants, independent)
 	}
 	for _, deployment := range Deployments() {
 		for _, sc := range Scenarios() {
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -168,9 +168,9 @@
 
 // Crashed records that the endpoint broke the connections of its attempts. Every affected attempt reports this.
 // The first report ejects the endpoint, unless too many endpoints are out of use; further reports have no
-// effect on an ejected endpoint.
+// effect on an ejected endpoint. The failures of an endpoint that was not ejected still count, so that its next failure
+// ejects it as soon as enough others are back.
 func (m *Monitor) Crashed(now time.Duration, e *Endpoint) {
-	e.failures = 0
 	if e.state == Ejected {
 		return
 	}
@@ -278,6 +278,7 @@
 	}
 	e.state, e.changedAt, e.slow = Ejected, now, false
 	e.ejectedAt, e.everEjected = now, true
+	e.failures = 0
 }
 
 func (m *Monitor) reinstate(now time.Duration, e *Endpoint) {
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -158,3 +158,23 @@
 		t.Fatal("not ejected after failures in a row")
 	}
 }
+
+// TestCrashBeyondTheLimit guards against an endpoint that stays in use although it keeps failing, because it could not be
+// ejected while too many others were out of use.
+func TestCrashBeyondTheLimit(t *testing.T) {
+	f := newFleet(4)
+	f.run(time.Second)
+	e := f.endpoints[1]
+	f.m.Crashed(f.now, f.endpoints[0])
+	for range maxFailures {
+		f.m.Failed(f.now, e)
+	}
+	if e.State() != Ready {
+		t.Fatalf("state %s while another endpoint is out of use, want ready", e.State())
+	}
+	f.m.Remove(f.endpoints[0])
+	f.m.Failed(f.now, e)
+	if e.State() != Ejected {
+		t.Errorf("state %s after another failure, want ejected", e.State())
+	}
+}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -202,14 +202,23 @@
 
 // applySnapshot passes a new configuration to the components that do not read it for each request.
 func (n *Node) applySnapshot(s *config.Snapshot) {
+	n.configureMu.Lock()
+	defer n.configureMu.Unlock()
 	n.scheduler.SetSnapshot(s)
 	n.client.SetSnapshot(s)
-	n.updateDraining()
+	n.updateDrainingLocked()
 }
 
 // updateDraining tells the scheduler the endpoints whose VM is leaving or gone, so that they receive no new
 // requests.
 func (n *Node) updateDraining() {
+	n.configureMu.Lock()
+	defer n.configureMu.Unlock()
+	n.updateDrainingLocked()
+}
+
+// updateDrainingLocked is updateDraining with configureMu held.
+func (n *Node) updateDrainingLocked() {
 	if s := n.store.Snapshot(); s != nil {
 		n.scheduler.SetDraining(n.vmWatcher.LeavingEndpoints(s))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,8 +1,8 @@
 // Package node builds the components of one daemon, starts them, and stops them without aborting
 // requests in progress.
 //
-// Lock order of a daemon: membership, configuration, scheduler shard, response relay of package dispatch,
-// metrics. No lock is held during calls to other daemons, to the key-value service or to the VM list.
+// Lock order of a daemon: membership, configuration, Node.configureMu, scheduler shard, response relay of package
+// dispatch, metrics. No lock is held during calls to other daemons, to the key-value service or to the VM list.
 // Package configstore notifies its subscribers with a lock held, and a relay holds its lock while it writes
 // to the caller.
 package node
@@ -12,6 +12,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -61,6 +62,10 @@
 	front      *front.Front
 	admin      *admin.Server
 
+	// configureMu serializes the configuration of the scheduler. The configuration store and the VM watcher both cause it,
+	// and the one that read its input first must not overwrite what the other has set.
+	configureMu sync.Mutex
+
 	peerServer   *peerconn.Server
 	callerServer *http.Server
 	adminServer  *http.Server
@@ -224,7 +229,7 @@
 	return nil
 }
 
-// close closes the listeners and stops the components, but not the modules. Later connection attempts are
+// close closes the listeners and stops the components and then the modules that they use. Later connection attempts are
 // refused.
 func (n *Node) close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
@@ -240,6 +245,13 @@
 			n.log.Warn("failed to stop component", "error", err)
 		}
 	}
+	for _, module := range []any{n.kv, n.vmList} {
+		if m, ok := module.(chivewind.Stopper); ok {
+			if err := m.Stop(ctx); err != nil {
+				n.log.Warn("failed to stop module", "error", err)
+			}
+		}
+	}
 	n.adminServer.Close()
 	n.pool.Close()
 	n.log.Info("stopped")
