Free all addresses when an entry daemon cannot start

Cause: New and Run left the sockets open that they had bound before an error. TestFailedStartFreesAddresses fails for each of the five addresses on the code before. Closing the HTTP servers is not enough, since a server that has not begun to serve does not close its listener; seen once in the first run of the test.

--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -52,6 +52,9 @@
 	server       *entry.Server
 	callerServer *http.Server
 	peerServer   *peerconn.Server
+	// listeners are the listeners of the HTTP servers, and httpServers those servers, callerServer included.
+	listeners   []net.Listener
+	httpServers []*http.Server
 }
 
 // New creates a daemon from its settings and binds its control and report addresses; Run binds the HTTP addresses. It
@@ -79,7 +82,11 @@
 		Address: s.Listen.Control, Log: log.Named("peers"), Metrics: n.metrics,
 		Service: &peerconn.ServiceFuncs{OnSync: n.fleet.Sync},
 	})
-	return n, err
+	if err != nil {
+		n.fleet.Close()
+		return nil, err
+	}
+	return n, nil
 }
 
 // buildFleet creates the fleet.Fleet of the daemon and connects the request path to it.
@@ -105,11 +112,12 @@
 }
 
 // Run serves requests until ctx is canceled and then shuts down gracefully. It returns early with an error if an
-// address cannot be bound or an HTTP server fails.
+// address cannot be bound or an HTTP server fails. When it returns, all addresses of the daemon are free again.
 func (n *Node) Run(ctx context.Context) error {
 	// The background work continues after ctx is canceled, until the graceful shutdown is complete.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	defer n.closeListeners()
 	n.log.Info("starting", "daemon", n.settings.ID, "zone", n.settings.Zone, "callers", n.settings.Listen.Callers)
 	if err := n.peerServer.Start(work); err != nil {
 		return err
@@ -130,6 +138,19 @@
 	return n.peerPool.Close()
 }
 
+// closeListeners closes the HTTP servers and the sockets for other daemons.
+func (n *Node) closeListeners() {
+	for _, s := range n.httpServers {
+		_ = s.Close()
+	}
+	// A server that has not begun to serve does not close its listener.
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+	n.fleet.Close()
+	_ = n.peerServer.Stop(context.Background())
+}
+
 // listen binds the HTTP addresses and starts their servers. A server that fails later sends its error to failed.
 func (n *Node) listen(failed chan<- error) error {
 	l := n.settings.Listen
@@ -159,6 +180,7 @@
 		if err != nil {
 			return oops.With("step", "listen").With("address", s.address).Wrap(err)
 		}
+		n.listeners, n.httpServers = append(n.listeners, listener), append(n.httpServers, s.server)
 		go func() {
 			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -128,9 +128,12 @@
 	go f.replicateStore(ctx)
 	go f.runAntiEntropy(ctx)
 	go f.keepRegistered(ctx)
-	context.AfterFunc(ctx, func() { _ = f.socket.Close() })
+	context.AfterFunc(ctx, f.Close)
 }
 
+// Close closes the socket for reports. When the context of Start is canceled, the socket is closed as well.
+func (f *Fleet) Close() { _ = f.socket.Close() }
+
 // SetState sets the state of this daemon and announces it to the other daemons when it changes.
 func (f *Fleet) SetState(s peer.DaemonState) {
 	f.mu.Lock()
