Do not relay a 503, 429 or 408 that does not state that the request was not executed

Cause: found by TestTroubleLostAnswer, which breaks off an exchange at many points (bytes of the request read, bytes of the answer written; close, reset, silence, wrong bytes, an error of a proxy): a 503 without the endpoint's statement was relayed as it came, and callers take 503 for the promise that the request has not run, although an endpoint behind the proxy may run it. Such an answer now counts as a failure after a send: 502 for what may run once, another attempt for the rest. Ruled out: all other ways to break off (close, reset, silence, wrong bytes) passed on the code before, at each of the points.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -52,12 +52,27 @@
 		resp.Close()
 		return attemptResult{outcome: placement.Failed, sent: true, cause: "response without the endpoint's authentication code"}
 	}
+	if promisesNotRun(resp.Status) {
+		resp.Close()
+		return attemptResult{outcome: placement.Failed, sent: true, cause: fmt.Sprintf("status %d without the endpoint's statement that it did not execute the request", resp.Status)}
+	}
 	if r.req.route.Stream && success {
 		return r.copyStream(ctx, resp, placed)
 	}
 	return r.copyBuffered(ctx, resp, placed, success)
 }
 
+// promisesNotRun reports whether callers take a status for the promise that the request has not been executed and never
+// will be. An endpoint's response with such a status must not be relayed unless it states the same (ResponseInfo.NotRun):
+// it may come from a proxy that lost the connection to an endpoint which executes the request.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // copyBuffered relays a response that is not an event stream. Up to maxBufferedResponse, it is read completely
 // before it is written; the rest of a longer one is copied as it arrives.
 func (r *responseRelay) copyBuffered(ctx context.Context, resp *upstream.Response, placed *placedAttempt, success bool) attemptResult {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -141,7 +141,7 @@
 	}
 	req.pool = view.Table.Pools[pickPool(route)]
 	req.setDeadline()
-	req.placeReq = placement.Request{Class: placement.HashClass(route.Class), Zone: s.opts.Zone, FirstByte: route.FirstByte, Tier: route.Tier}
+	req.placeReq = placement.Request{Class: placement.HashClass(req.pool.Name, route.Class), Zone: s.opts.Zone, FirstByte: route.FirstByte, Tier: route.Tier}
 	if p := caller.Prompt; p != nil && req.pool.Engine != nil {
 		req.placeReq.Chain = placement.NewPrefixChain(p)
 		req.placeReq.Output = p.MaxOutput
