Tell a scheduler when its placement is not used

Cause: a daemon that got no reply in time placed the request itself and told the scheduler nothing; a scheduler that was only slow or paused, or whose replies were lost, counted the load of the request until its deadline, up to 15 s, and placed and refused others by it. The daemon now reports the placement as canceled. Ruled out: requests that are sent twice around the hand-over, late and repeated replies are ignored. Figures: both cases of TestTroubleLateScheduler leave 1 request counted on the code before (the second one of a daemon is not sent to a scheduler in back-off), 0 after.

--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -214,6 +214,7 @@
 	}()
 	reply := s.sendPlaceRequest(ctx, query, scheduler, replies)
 	if reply == nil {
+		s.abandonPlacement(scheduler.Identity, query.Id)
 		if ctx.Err() == nil {
 			s.backOff(scheduler.Identity.Daemon)
 		}
@@ -250,6 +251,14 @@
 	return choice, attempt, nil, true
 }
 
+// abandonPlacement tells a scheduler that its reply to a place request is not used. The scheduler may have received the
+// request, and would otherwise count its load until the request's deadline.
+func (s *Server) abandonPlacement(scheduler *peer.Identity, id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sendProgress(&placedAttempt{scheduler: scheduler, id: id}, true, placement.Canceled)
+}
+
 // newPlaceRequest returns the description of a request for the scheduler, without an ID.
 func (s *Server) newPlaceRequest(req *request) *peer.PlaceRequest {
 	self, incarnation := s.fleet.Self()
