Reject modules of another kind in the settings

Cause: checkModule only looked for the module's name, so that kv: {use: vmlist.http} passed 'chivewind check' and failed at the start. The list in 'the module is missing' has commas like the others now.

--- a/settings/parse.go
+++ b/settings/parse.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/chivewind/chivewind"
@@ -160,10 +161,11 @@
 	}
 }
 
-// checkModule checks that the selected module is registered and that its settings can be decoded.
+// checkModule checks that the selected module is registered, that it can be used for the field, and that its settings can
+// be decoded.
 func checkModule(doc *strictyaml.Document, field string, m *Module) {
 	if m.Use == "" {
-		doc.AddProblemf(field+".use", "the module is missing; valid: %s", moduleIDs(field))
+		doc.AddProblemf(field+".use", "the module is missing; valid: %s", strings.Join(moduleIDs(field), ", "))
 		return
 	}
 	info, err := chivewind.Lookup(m.Use)
@@ -171,6 +173,10 @@
 		doc.AddProblemf(field+".use", "%v", err)
 		return
 	}
+	if !slices.Contains(moduleIDs(field), m.Use) {
+		doc.AddProblemf(field+".use", "module %q cannot be used here; valid: %s", m.Use, strings.Join(moduleIDs(field), ", "))
+		return
+	}
 	if err := chivewind.Decode(&m.With, info.New()); err != nil {
 		doc.AddProblemf(field+".with", "%v", err)
 	}
