Keep the classes of different pools apart; do not prefill known parts again on the preferred engine

Causes: (1) demand, strict classes and priorities were kept per class for all pools together. With two pools of engines, one whose classes have a higher priority than the other's was never refused anything for overload, and its engines were divided for a strict class that only the other pool serves. HashClass now includes the pool. (2) Pools stayed after they had left the routing table. (3) The preferred engine paid nothing for shared parts that another engine was prefilling, and prefilled them a second time.

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -62,6 +62,7 @@
 
 // classState is what admission knows of a class.
 type classState struct {
+	pool      string
 	tier      int
 	firstByte time.Duration
 	// prefillTokens is the smoothed number of prompt tokens that an engine has to prefill for a request.
@@ -94,7 +95,7 @@
 // waitLimit returns the limit for a request. A wait at waitLimit.mean takes, with its margin, the allowed fraction of
 // the first-byte target.
 func (b *Placer) waitLimit(now time.Time, p *pool, r *annotatedRequest) waitLimit {
-	if p.Engine == nil || r.Waited || !b.lowestPriority(r) {
+	if p.Engine == nil || r.Waited || !b.lowestPriority(p, r) {
 		return waitLimit{}
 	}
 	withMargin := func(fraction float64) time.Duration {
@@ -193,15 +194,15 @@
 	return min(max((r.refused/r.total-lowRefusalRate)/(highRefusalRate-lowRefusalRate), 0), 1)
 }
 
-// lowestPriority reports whether a request's class has a first-byte target and no known class has a lower
-// priority. Only such requests are refused for overload. The result is false for a strict class if there are other
+// lowestPriority reports whether a request's class has a first-byte target and no known class of the pool has a lower
+// priority. Only such requests are refused for overload. The result is false for a strict class if the pool has other
 // classes: it has engines of its own, so refusing its requests frees no capacity for others.
-func (b *Placer) lowestPriority(r *annotatedRequest) bool {
-	if r.FirstByte <= 0 || (r.strict && len(b.classes) > 1) {
+func (b *Placer) lowestPriority(p *pool, r *annotatedRequest) bool {
+	if r.FirstByte <= 0 {
 		return false
 	}
-	for _, t := range b.classes {
-		if t.tier > r.Tier {
+	for class, state := range b.classes {
+		if state.pool == p.Name && (state.tier > r.Tier || (r.strict && class != r.Class)) {
 			return false
 		}
 	}
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -43,20 +43,18 @@
 	d.updated = now
 }
 
-// demand tracks the load of the classes on all daemons.
+// demand tracks the load of the classes of all pools on all daemons.
 type demand struct {
 	own    map[uint32]*decayingDemand
 	remote map[string]map[uint32]classDemand
-	// strictGap is the shortest inter-token target of all classes.
-	strictGap time.Duration
 }
 
 func newDemand() *demand {
 	return &demand{own: map[uint32]*decayingDemand{}, remote: map[string]map[uint32]classDemand{}}
 }
 
-// HashClass returns the hash that identifies a class in messages between daemons.
-func HashClass(class string) uint32 { return uint32(xxhash.Sum64String(class)) }
+// HashClass returns the hash that identifies a class of a pool's requests in messages between daemons.
+func HashClass(pool, class string) uint32 { return uint32(xxhash.Sum64String(pool + "\x00" + class)) }
 
 // decayRate returns the factor that converts an exponentially decaying sum to a rate per second.
 func decayRate() float64 { return math.Ln2 / demandHalfLife.Seconds() }
--- a/internal/placement/enginepartition.go
+++ b/internal/placement/enginepartition.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chivewind/chivewind/internal/rendezvous"
@@ -32,29 +33,29 @@
 	updated       time.Time
 }
 
-// findStrictClasses returns the hashes of the classes with the shortest inter-token targets, and the shortest
-// target. There are no strict classes unless others have clearly longer targets.
-func findStrictClasses(t *traffic.Table) (strict map[uint32]bool, shortest time.Duration) {
+// findStrictClasses adds the hashes of a pool's classes with the shortest inter-token targets to strict, and returns the
+// shortest target. There are no strict classes unless others of the pool have clearly longer targets.
+func findStrictClasses(t *traffic.Table, pool string, strict map[uint32]bool) (shortest time.Duration) {
 	var longest time.Duration
+	gaps := map[uint32]time.Duration{}
 	for i := range t.Routes {
-		if gap := t.Routes[i].EventGap; t.Routes[i].Stream && gap > 0 {
-			if shortest == 0 || gap < shortest {
-				shortest = gap
-			}
-			longest = max(longest, gap)
+		r := &t.Routes[i]
+		if !r.Stream || r.EventGap <= 0 || !slices.ContainsFunc(r.Pools, func(p traffic.WeightedPool) bool { return p.Pool == pool }) {
+			continue
+		}
+		gaps[HashClass(pool, r.Class)] = r.EventGap
+		longest = max(longest, r.EventGap)
+		if shortest == 0 || r.EventGap < shortest {
+			shortest = r.EventGap
 		}
 	}
-	strict = map[uint32]bool{}
 	bound := time.Duration(strictGapRatio * float64(shortest))
-	if longest <= bound {
-		return strict, shortest
-	}
-	for i := range t.Routes {
-		if r := &t.Routes[i]; r.Stream && r.EventGap > 0 && r.EventGap <= bound {
-			strict[HashClass(r.Class)] = true
+	for class, gap := range gaps {
+		if gap <= bound && longest > bound {
+			strict[class] = true
 		}
 	}
-	return strict, shortest
+	return shortest
 }
 
 // updatePartition adapts the partition to the recent load of the classes. When requests of one class arrive in
@@ -65,15 +66,17 @@
 	}
 	p.partition.updated = now
 	n := len(p.endpoints)
-	if n < 2 || len(b.strictClasses) == 0 {
+	if n < 2 || !b.hasStrictClasses(p) {
 		p.partition.strictEngines = 0
 		return
 	}
 	var strict, other float64
 	for class, d := range b.demand.total(now) {
-		if b.strictClasses[class] {
+		switch {
+		case b.classPools[class] != p.Name:
+		case b.strictClasses[class]:
 			strict += d.work()
-		} else {
+		default:
 			other += d.work()
 		}
 	}
@@ -91,6 +94,16 @@
 	}
 }
 
+// hasStrictClasses reports whether any class of the pool is strict.
+func (b *Placer) hasStrictClasses(p *pool) bool {
+	for class := range b.strictClasses {
+		if b.classPools[class] == p.Name {
+			return true
+		}
+	}
+	return false
+}
+
 // partitionCost returns the cost of an engine outside the partition of the request's class. An engine of the
 // strict partition costs nothing if its pending prefill and that of the request fit its prefill budget.
 func (b *Placer) partitionCost(p *pool, index int, e *endpoint, l load, r *annotatedRequest, prefill int) float64 {
@@ -149,5 +162,5 @@
 // prefillBudget returns the number of tokens that an engine can prefill without making strict streams exceed
 // their inter-token target.
 func (b *Placer) prefillBudget(e *endpoint, p *pool) float64 {
-	return max(e.prefillSpeed(p)*prefillGapFraction*float64(b.demand.strictGap)/float64(time.Millisecond), 1)
+	return max(e.prefillSpeed(p)*prefillGapFraction*float64(p.strictGap)/float64(time.Millisecond), 1)
 }
--- a/internal/placement/model_test.go
+++ b/internal/placement/model_test.go
@@ -136,6 +136,7 @@
 		Slots: engineSlots, CacheTokens: engineMemory, TokenBytes: tokenBytes, LinkBytesPerMs: linkBytesPerMs, EventTokens: eventTokens,
 	}}}}
 	for _, class := range classes {
+		class.route.Pools = []traffic.WeightedPool{{Pool: "p", Weight: 1}}
 		table.Routes = append(table.Routes, class.route)
 	}
 	sim := &simulation{b: New(1), engines: map[string]*simEngine{}, random: rand.New(rand.NewPCG(1, 2)), seen: map[uint64]bool{}}
@@ -202,7 +203,7 @@
 	}}
 	class.offeredSizes = append(class.offeredSizes, prompt.Tokens)
 	r := &Request{
-		Class: HashClass(class.route.Class), Zone: "z0", Chain: NewPrefixChain(prompt), Output: class.outputTokens,
+		Class: HashClass("p", class.route.Class), Zone: "z0", Chain: NewPrefixChain(prompt), Output: class.outputTokens,
 		FirstByte: class.route.FirstByte, Tier: class.route.Tier, Remaining: 12 * time.Second,
 	}
 	s.b.RecordArrival(now, r)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -22,7 +22,7 @@
 
 // Request describes a request to be placed.
 type Request struct {
-	// Class is the HashClass of the class's name.
+	// Class is the HashClass of the pool and the class.
 	Class uint32
 	// Zone is the availability zone of the daemon that received the request.
 	Zone string
@@ -65,7 +65,7 @@
 	// when the prefill would make streams of strict classes exceed their inter-token targets.
 	Full bool
 	// Recomputes is set when the engine would prefill at least minSharedTokens of shared parts that are cached or
-	// being prefilled elsewhere. It is never set for the preferred engine.
+	// being prefilled elsewhere.
 	Recomputes bool
 	// OutsidePartition is set when the engine belongs to the other partition of the pool and the choice costs
 	// partitionWeight.
@@ -82,13 +82,12 @@
 	// maxLatenessCost limits the cost of a late answer.
 	maxLatenessCost = 3.0
 	// recomputeWeight is the cost of 1,000 shared prompt tokens that another engine has cached or is
-	// prefilling, and transferWeight the cost of copying them from there instead. Prefilling them on the preferred
-	// engine costs nothing.
+	// prefilling, and transferWeight the cost of copying them from there instead.
 	recomputeWeight = 0.03
 	transferWeight  = 0.015
 	// nonPreferredWeight is the cost of 1,000 shared prompt tokens that no engine has and that would be
-	// prefilled by an engine other than the preferred one. Daemons that place requests without a scheduler
-	// agree on the preferred engine.
+	// prefilled by an engine other than the preferred one, where it costs nothing. Daemons that place requests without
+	// a scheduler agree on the preferred engine.
 	nonPreferredWeight = 0.02
 	// occupancyWeight is the cost of an engine with all slots taken: each stream slows down the others.
 	occupancyWeight = 0.25
@@ -143,8 +142,10 @@
 	demand    *demand
 	// reportedLoads holds the endpoints for which each other daemon has reported a load.
 	reportedLoads map[string][]*endpoint
+	// classPools holds the pool of each class of the routing table.
+	classPools map[uint32]string
 	// strictClasses holds the hashes of the strict classes, whose inter-token targets (traffic.Route.EventGap) are
-	// close to the shortest one; see findStrictClasses.
+	// close to the shortest one of their pool; see findStrictClasses.
 	strictClasses map[uint32]bool
 	// classes holds the classes that have had requests to engine pools since the last SetTable.
 	classes map[uint32]classState
@@ -166,6 +167,8 @@
 	traffic.Pool
 	endpoints []*endpoint
 	partition enginePartition
+	// strictGap is the shortest inter-token target of the pool's classes.
+	strictGap time.Duration
 	latency   latencyModel
 	refusals  refusalRate
 }
@@ -188,16 +191,27 @@
 	return uint32(d.Sum64())
 }
 
-// SetTable replaces the routing table.
+// SetTable replaces the routing table. SetEndpoints must be called afterwards.
 func (b *Placer) SetTable(t *traffic.Table) {
-	b.strictClasses, b.demand.strictGap = findStrictClasses(t)
-	b.classes = map[uint32]classState{}
+	b.classPools, b.strictClasses, b.classes = map[uint32]string{}, map[uint32]bool{}, map[uint32]classState{}
+	for i := range t.Routes {
+		for _, p := range t.Routes[i].Pools {
+			b.classPools[HashClass(p.Pool, t.Routes[i].Class)] = p.Pool
+		}
+	}
+	for name := range b.pools {
+		if _, ok := t.Pools[name]; !ok {
+			delete(b.pools, name)
+		}
+	}
 	for name, p := range t.Pools {
-		if known := b.pools[name]; known != nil {
-			known.Pool = p
-			continue
+		known := b.pools[name]
+		if known == nil {
+			known = newPool(p)
+			b.pools[name] = known
 		}
-		b.pools[name] = newPool(p)
+		known.Pool = p
+		known.strictGap = findStrictClasses(t, name, b.strictClasses)
 	}
 }
 
@@ -294,7 +308,7 @@
 	annotated := &annotatedRequest{Request: r, strict: b.strictClasses[r.Class]}
 	if p.Engine != nil {
 		state := b.classes[r.Class]
-		state.tier, state.firstByte = r.Tier, r.FirstByte
+		state.pool, state.tier, state.firstByte = poolName, r.Tier, r.FirstByte
 		b.classes[r.Class] = state
 		annotated.preferred = p.preferredEngine(annotated)
 		annotated.sharedKnown = b.cache.sharedPrefixKnown(r.Chain)
@@ -364,7 +378,7 @@
 		if p.Engine.LinkBytesPerMs > 0 {
 			choice.Wait += milliseconds(float64(copied) * p.Engine.TokenBytes / p.Engine.LinkBytesPerMs)
 		}
-	} else if shared := r.Chain.Shared - min(r.Chain.prefixTokens(matched), r.Chain.Shared); shared > 0 && r.preferred != e {
+	} else if shared := r.Chain.Shared - min(r.Chain.prefixTokens(matched), r.Chain.Shared); shared > 0 && (r.preferred != e || r.sharedKnown) {
 		weight := nonPreferredWeight
 		if r.sharedKnown {
 			weight = recomputeWeight
--- a/internal/placement/wait_test.go
+++ b/internal/placement/wait_test.go
@@ -164,3 +164,23 @@
 		t.Errorf("%d tokens to prefill at a restarted endpoint, want 8100", c.PrefillTokens)
 	}
 }
+
+// TestPreferredEngineDoesNotPrefillAgain guards against prefilling shared parts on their preferred engine while another
+// engine, which was chosen when the preferred one could not be, is prefilling them.
+func TestPreferredEngineDoesNotPrefillAgain(t *testing.T) {
+	for _, prompt := range []string{"a", "b", "c", "d", "e", "f"} {
+		b := testPlacer(9, 0)
+		r := &Request{Class: 1, Zone: "z0", Chain: testPrompt(prompt, 8000, 100), FirstByte: 2 * time.Second}
+		preferred := mustChoose(t, b, start, "p", r)
+		first := *r
+		first.Avoid = []uint32{preferred.Hash}
+		other := mustChoose(t, b, start, "p", &first)
+		b.Start(start, "p", &first, other, Local)
+		second := *r
+		second.MaxWait = time.Second
+		choice := mustChoose(t, b, start, "p", &second)
+		if choice.Hash != other.Hash || !choice.WaitForPrefill {
+			t.Errorf("%s: sent to the preferred engine: %v, waits: %v; want a wait for the engine that prefills the parts", prompt, choice.Hash == preferred.Hash, choice.WaitForPrefill)
+		}
+	}
+}
