Do not forget the classes of a pool with each change of its endpoints

Cause: SetTable, which is called with each new view, forgot which classes have requests. Until the least urgent class had its next request, a more urgent one counted as the least urgent and was refused for overload. Classes of the table are kept now, and a class counts while its last request is less than 5 s old. Ruled out: the partition of the strict class, which is no reason for a refusal.

Figures: TestViewChangeKeepsPriorities fails on the code before (refused after a change of the view).

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -62,9 +62,10 @@
 
 // classState is what admission knows of a class.
 type classState struct {
-	pool      string
-	tier      int
-	firstByte time.Duration
+	pool        string
+	lastRequest time.Time
+	tier        int
+	firstByte   time.Duration
 	// prefillTokens is the smoothed number of prompt tokens that an engine has to prefill for a request.
 	prefillTokens float64
 }
@@ -95,7 +96,7 @@
 // waitLimit returns the limit for a request. A wait at waitLimit.mean takes, with its margin, the allowed fraction of
 // the first-byte target.
 func (b *Placer) waitLimit(now time.Time, p *pool, r *annotatedRequest) waitLimit {
-	if p.Engine == nil || r.Waited || !b.lowestPriority(p, r) {
+	if p.Engine == nil || r.Waited || !b.lowestPriority(now, p, r) {
 		return waitLimit{}
 	}
 	withMargin := func(fraction float64) time.Duration {
@@ -194,15 +195,18 @@
 	return min(max((r.refused/r.total-lowRefusalRate)/(highRefusalRate-lowRefusalRate), 0), 1)
 }
 
-// lowestPriority reports whether a request's class has a first-byte target and no known class of the pool has a lower
-// priority. Only such requests are refused for overload. The result is false for a strict class if the pool has other
-// classes: it has engines of its own, so refusing its requests frees no capacity for others.
-func (b *Placer) lowestPriority(p *pool, r *annotatedRequest) bool {
+// classRetention is the time since the last request of a class for which it counts in lowestPriority.
+const classRetention = 5 * time.Second
+
+// lowestPriority reports whether a request's class has a first-byte target and no class of the pool that has had requests
+// recently has a lower priority. Only such requests are refused for overload. The result is false for a strict class if the
+// pool has other classes: it has engines of its own, so refusing its requests frees no capacity for others.
+func (b *Placer) lowestPriority(now time.Time, p *pool, r *annotatedRequest) bool {
 	if r.FirstByte <= 0 {
 		return false
 	}
 	for class, state := range b.classes {
-		if state.pool == p.Name && (state.tier > r.Tier || (r.strict && class != r.Class)) {
+		if state.pool == p.Name && now.Sub(state.lastRequest) < classRetention && (state.tier > r.Tier || (r.strict && class != r.Class)) {
 			return false
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -10,6 +10,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -147,7 +148,7 @@
 	// strictClasses holds the hashes of the strict classes, whose inter-token targets (traffic.Route.EventGap) are
 	// close to the shortest one of their pool; see findStrictClasses.
 	strictClasses map[uint32]bool
-	// classes holds the classes that have had requests to engine pools since the last SetTable.
+	// classes holds the classes of the routing table that have had requests to engine pools.
 	classes map[uint32]classState
 	// schedulerEpoch is incremented with each change of the scheduler.
 	schedulerEpoch int
@@ -193,12 +194,13 @@
 
 // SetTable replaces the routing table. SetEndpoints must be called afterwards.
 func (b *Placer) SetTable(t *traffic.Table) {
-	b.classPools, b.strictClasses, b.classes = map[uint32]string{}, map[uint32]bool{}, map[uint32]classState{}
+	b.classPools, b.strictClasses = map[uint32]string{}, map[uint32]bool{}
 	for i := range t.Routes {
 		for _, p := range t.Routes[i].Pools {
 			b.classPools[HashClass(p.Pool, t.Routes[i].Class)] = p.Pool
 		}
 	}
+	maps.DeleteFunc(b.classes, func(class uint32, _ classState) bool { return b.classPools[class] == "" })
 	for name := range b.pools {
 		if _, ok := t.Pools[name]; !ok {
 			delete(b.pools, name)
@@ -308,7 +310,7 @@
 	annotated := &annotatedRequest{Request: r, strict: b.strictClasses[r.Class]}
 	if p.Engine != nil {
 		state := b.classes[r.Class]
-		state.pool, state.tier, state.firstByte = poolName, r.Tier, r.FirstByte
+		state.pool, state.tier, state.firstByte, state.lastRequest = poolName, r.Tier, r.FirstByte, now
 		b.classes[r.Class] = state
 		annotated.preferred = p.preferredEngine(annotated)
 		annotated.sharedKnown = b.cache.sharedPrefixKnown(r.Chain)
--- a/internal/placement/pools_test.go
+++ b/internal/placement/pools_test.go
@@ -77,3 +77,43 @@
 		t.Errorf("request to a removed pool: %+v, want a refusal", refusal)
 	}
 }
+
+// TestViewChangeKeepsPriorities guards against refusing urgent requests for overload after a change of the endpoints or of
+// the routing table, when the less urgent class has had no request since.
+func TestViewChangeKeepsPriorities(t *testing.T) {
+	routes := []traffic.Route{streamRoute("urgent", 0, time.Second, time.Second), streamRoute("patient", 2, time.Second, time.Second)}
+	table := func() *traffic.Table {
+		table := &traffic.Table{Pools: map[string]traffic.Pool{"p": {Name: "p", Engine: &traffic.Engine{Slots: 64, CacheTokens: 1000000}}}}
+		for _, route := range routes {
+			route.Pools = []traffic.WeightedPool{{Pool: "p", Weight: 1}}
+			table.Routes = append(table.Routes, route)
+		}
+		return table
+	}
+	request := func(route traffic.Route, prompt string) *Request {
+		return &Request{
+			Class: HashClass("p", route.Class), Zone: "z0", Tier: route.Tier, FirstByte: time.Second, Remaining: 10 * time.Second,
+			Chain: testPrompt(prompt, 10, 20000),
+		}
+	}
+	engine := traffic.Endpoint{ID: "e", Pool: "p", Zone: "z0", Slots: 64}
+	setView := func(b *Placer) {
+		b.SetTable(table())
+		b.SetEndpoints(start, map[string][]traffic.Endpoint{"p": {engine}}, map[string]traffic.Endpoint{"e": engine})
+	}
+	b := New(1)
+	setView(b)
+	patient := request(routes[1], "x")
+	b.Start(start, "p", patient, mustChoose(t, b, start, "p", patient), Local)
+	setView(b)
+	urgent := request(routes[0], "y")
+	for _, c := range []struct {
+		after   time.Duration
+		refused bool
+	}{{time.Second, false}, {2 * classRetention, true}} {
+		_, refusal := b.Choose(start.Add(c.after), "p", urgent)
+		if refused := refusal != nil; refused != c.refused {
+			t.Errorf("%s after the last request of the less urgent class: refused %v, want %v", c.after, refused, c.refused)
+		}
+	}
+}
