--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -72,8 +72,8 @@
 	responseStarted atomic.Bool
 }
 
-// Send sends the request once, on a new connection if fresh is set or needsFreshConnection requires it. The caller must close the response
-// body. The exchange is not nil even if an error is returned, so that Sent and Stale can be called.
+// Send sends the request once, on a new connection if fresh is set or needsFreshConnection requires it. The caller must
+// close the response body. The exchange is not nil even if an error is returned, so that Sent and Stale can be called.
 func (c *Client) Send(req *http.Request, fresh bool) (*Exchange, error) {
 	x := &Exchange{}
 	trace := &httptrace.ClientTrace{
