--- a/test/soak/stop_test.go
+++ b/test/soak/stop_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -74,8 +75,8 @@
 	start := time.Now()
 	_ = conn.SetDeadline(start.Add(stopTimeout))
 	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\nContent-Length: 1\r\n\r\n", path+x.attempt, x.attempt)
-	if x.kind == "body later" {
-		<-time.After(bodyDelay)
+	if err == nil && x.kind == "body later" {
+		err = pause(conn, reader)
 	}
 	if err == nil {
 		_, err = conn.Write([]byte("x"))
@@ -94,6 +95,19 @@
 	return err == nil && !resp.Close
 }
 
+// pause waits for bodyDelay and returns an error as soon as the connection ends meanwhile. Otherwise a connection that was
+// reset before the daemon read anything would seem to have ended bodyDelay later.
+func pause(conn net.Conn, reader *bufio.Reader) error {
+	end := time.Now().Add(bodyDelay)
+	_ = conn.SetReadDeadline(end)
+	_, err := reader.Peek(1)
+	_ = conn.SetReadDeadline(end.Add(stopTimeout))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
 // checkStop returns a description of each request that the stop of a daemon cut off or misreported.
 func (s *system) checkStop(seen []exchange) (problems []string) {
 	s.mu.Lock()
