Announce changes that follow each other quickly together

Cause: a relay sent a report with up to 4 KiB of recent changes to every daemon for each change of an endpoint. While many endpoints register, as at the start and after a crash of many, that is 70 changes a second x 294 daemons x 4 KiB, 660 Mbit/s on a link of 200. The relays' reports were lost, they were taken for dead for up to 8 s ('daemon silent' of the three relays at all daemons, their own calls to the store timed out), and all 295 daemons watched the store, each with a call for every change.

Change: after an announcement the next one waits for 1 ms for each known daemon, and carries all changes since. The first change after a pause is announced at once, so that a single change is as fast as before.

Ruled out: a slow store, it answered all others; too little processor time, the busiest VM used 0.12 of 0.8 cores; 0.5 ms for each daemon, which takes 14 to 15 MB/s of a relay's 25 MB/s at 295 daemons and 200 changes a second; 0.75 ms takes 11, 1 ms 9.6 MB/s.

Figures: TestEndpointBurst on the code before: 31.3 MB/s sent by each relay at 60 daemons, more than the link has; now 9.5 MB/s, and 9.6 MB/s at 295. TestSpread and TestSpreadWithoutRelays pass at 6, 30, 60 and 295 (295 with 0.5 ms).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,6 +78,10 @@
 	reportSequence uint64
 	// recentChanges holds recently changed entries, which reports include until they expire.
 	recentChanges []recentChange
+	// nextAnnouncementAt is the earliest time of the next report that announces changes. announcementPending is set while
+	// one is scheduled.
+	nextAnnouncementAt  time.Time
+	announcementPending bool
 	// lastStoreReply is when the store last replied. storeFailing is set when the last call to it failed.
 	lastStoreReply time.Time
 	storeFailing   bool
@@ -243,7 +247,7 @@
 		f.opts.OnViewChange(view)
 	}
 	if announce {
-		f.sendReports(heartbeatAudience, false)
+		f.announceChanges()
 	}
 }
 
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -122,6 +122,9 @@
 	return known
 }
 
+// Size returns the number of other daemons that are known, whether live or not.
+func (m *Members) Size() int { return len(m.members) }
+
 // isLarge reports whether the fleet has relays.
 func (m *Members) isLarge() bool { return len(m.members) > maxSmallFleetPeers }
 
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -128,6 +128,41 @@
 	maxRecentChangeBytes = 4 << 10
 )
 
+// announceIntervalPerDaemon is the minimum time between two announcements of changes per known daemon. An announcement has
+// up to maxRecentChangeBytes for each of them, so that announcements take at most 32 Mbit/s of a relay's link.
+const announceIntervalPerDaemon = time.Millisecond
+
+// announceChanges sends the recent changes to the other daemons. Changes that follow each other quickly, as when many
+// endpoints register at the same time, are announced together.
+func (f *Fleet) announceChanges() {
+	f.mu.Lock()
+	now := time.Now()
+	wait := f.nextAnnouncementAt.Sub(now)
+	announce := wait <= 0
+	switch {
+	case announce:
+		f.scheduleNextAnnouncement(now)
+	case !f.announcementPending:
+		f.announcementPending = true
+		time.AfterFunc(wait, func() {
+			f.mu.Lock()
+			f.announcementPending = false
+			f.scheduleNextAnnouncement(time.Now())
+			f.mu.Unlock()
+			f.sendReports(heartbeatAudience, false)
+		})
+	}
+	f.mu.Unlock()
+	if announce {
+		f.sendReports(heartbeatAudience, false)
+	}
+}
+
+// scheduleNextAnnouncement sets the earliest time of the announcement after one that is sent now. f.mu must be held.
+func (f *Fleet) scheduleNextAnnouncement(now time.Time) {
+	f.nextAnnouncementAt = now.Add(time.Duration(f.members.Size()) * announceIntervalPerDaemon)
+}
+
 // addRecentChange adds the entries that changed after the revision since to the following reports. tableRevision was
 // the revision of the routing table then. f.mu must be held.
 func (f *Fleet) addRecentChange(now time.Time, since, tableRevision int64) {
