Show that a change waits while no relay reaches the store

When the store goes silent for all relays at once, each notices only after the wait of its watch and a timeout, and until the last one says so no other daemon watches.

--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -67,8 +67,10 @@
 	closed  chan struct{}
 	cancel  context.CancelFunc
 
-	dead         bool
-	noStore      bool
+	dead    bool
+	noStore bool
+	// storeSilent is set when calls to the store get no reply.
+	storeSilent  bool
 	sendFree     time.Time
 	receiveFree  time.Time
 	bytes        int
@@ -173,6 +175,19 @@
 	d.cancel()
 }
 
+// silenceStore leaves all further calls of a daemon to the store, and those in progress, without a reply.
+func (d *simDaemon) silenceStore() {
+	d.sim.mu.Lock()
+	defer d.sim.mu.Unlock()
+	d.storeSilent = true
+}
+
+func (d *simDaemon) isStoreSilent() bool {
+	d.sim.mu.Lock()
+	defer d.sim.mu.Unlock()
+	return d.storeSilent
+}
+
 // setLoss sets the share of datagrams that are lost.
 func (s *simFleet) setLoss(loss float64) {
 	s.mu.Lock()
--- a/internal/fleet/simstore_test.go
+++ b/internal/fleet/simstore_test.go
@@ -44,9 +44,20 @@
 // simKV is the access of one daemon to the store.
 type simKV struct{ d *simDaemon }
 
+const (
+	// simCallTimeout is the time after which a call without a reply fails.
+	simCallTimeout = 700 * time.Millisecond
+	// simWatchWait is how long the store holds a call of a watch without events.
+	simWatchWait = 2 * time.Second
+)
+
 // call counts a call and waits for the reply.
 func (k *simKV) call(ctx context.Context) error {
 	sleepContext(ctx, simStoreDelay)
+	if k.d.isStoreSilent() {
+		sleepContext(ctx, simCallTimeout)
+		return platform.ErrUnavailable
+	}
 	s := k.d.sim.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -90,18 +101,22 @@
 	return replies, nil
 }
 
-// poll waits for up to 2 s for events.
+// poll waits for up to simWatchWait for events.
 func (k *simKV) poll(ctx context.Context, from int64) platform.WatchReply {
 	s := k.d.sim.store
 	s.mu.Lock()
 	changed, current := s.changed, s.revision
 	s.mu.Unlock()
 	if current < from {
+		start := time.Now()
 		select {
 		case <-changed:
-		case <-time.After(2 * time.Second):
+		case <-time.After(simWatchWait):
 		case <-ctx.Done():
 		}
+		if k.d.isStoreSilent() {
+			sleepContext(ctx, time.Until(start.Add(simWatchWait)))
+		}
 	}
 	if err := k.call(ctx); err != nil {
 		return platform.WatchReply{Err: err}
--- a/internal/fleet/spread_test.go
+++ b/internal/fleet/spread_test.go
@@ -237,3 +237,25 @@
 		})
 	}
 }
+
+// TestSpreadWhileRelaysLackTheStore guards against a change that waits until all relays notice that their connections
+// to the store have gone silent.
+func TestSpreadWhileRelaysLackTheStore(t *testing.T) {
+	warmUp(t)
+	for _, n := range []int{8, 30, *simSize} {
+		for _, offset := range []time.Duration{0, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d/%s", n, offset), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := startSim(t, n, 2)
+					defer s.stop()
+					time.Sleep(offset)
+					for _, d := range s.relays() {
+						d.silenceStore()
+					}
+					s.checkChange("store silent to the relays", 2, 6<<10)
+					s.checkChange("watched by others", 3, 6<<10)
+				})
+			})
+		}
+	}
+}
