Notice a silent watch of the store within 1.7 s

What callers saw: a version that had been confirmed was not in force on VMs in touch for up to 2.7 s, with a bound of 2 s on the small sites and 3 s on the grown ones, when the store went silent for all relays at once. Cause: a call of a watch waits 2 s and then times out after 0.7 s, and no other daemon watches while one relay has not noticed. Change: a watch waits 1 s, so that its silence shows after 1.7 s at most; the interval is part of the interface of the key-value service.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -25,7 +25,7 @@
 	// endpoints renew them about once a second, and three missed renewals end a lease.
 	outageThreshold = 2 * time.Second
 	// watcherMaxAge is the maximum age of a watcher's last reply from the store, and of its last report, before
-	// other daemons start to watch the store themselves. The store replies to a watch without events every 2 s.
+	// other daemons start to watch the store themselves. The store replies to a watch without events every platform.WatchReplyInterval.
 	watcherMaxAge = 3 * time.Second
 	// watchCheckInterval is how often a daemon that does not watch checks whether it must.
 	watchCheckInterval = 200 * time.Millisecond
--- a/internal/fleet/simstore_test.go
+++ b/internal/fleet/simstore_test.go
@@ -47,8 +47,8 @@
 const (
 	// simCallTimeout is the time after which a call without a reply fails.
 	simCallTimeout = 700 * time.Millisecond
-	// simWatchWait is how long the store holds a call of a watch without events.
-	simWatchWait = 2 * time.Second
+	// simWatchWait is how long the simulated store holds a call of a watch without events.
+	simWatchWait = platform.WatchReplyInterval
 )
 
 // call counts a call and waits for the reply.
