Log the prompt parts of requests that an endpoint lost

Cause: the logs did not tell which requests the crashes of different endpoints have in common, so that the hypotheses on the part that crashes engines could not be told apart. Conclusion: no logic is changed yet.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -169,9 +169,33 @@
 		if s.suspects.Add(now, f, c.Endpoint.ID, crashID(c.Endpoint.ID, id)) {
 			s.crashes = append(s.crashes, &peer.Crash{Request: uint64(f), Endpoint: c.Endpoint.ID, Id: id})
 		}
+		s.logLostRequest(now, placed, req, c)
 	}
 }
 
+// logLostRequest logs what identifies the cause of a crash: the prompt parts of a request that was running on the
+// endpoint, and for how long its answer had been on its way.
+func (s *Server) logLostRequest(now time.Time, placed *placedAttempt, req *request, c placement.Choice) {
+	answering := time.Duration(0)
+	if !placed.firstEventAt.IsZero() {
+		answering = now.Sub(placed.firstEventAt)
+	}
+	s.opts.Log.Info("endpoint lost a request", "request", req.caller.AttemptID, "endpoint", c.Endpoint.ID, "started_at_ms", c.Endpoint.StartedAtMs,
+		"parts", sharedPartIDs(req.caller.Prompt), "answering_ms", answering.Milliseconds())
+}
+
+// sharedPartIDs returns the IDs of the parts of a prompt that other requests may share.
+func sharedPartIDs(p *traffic.Prompt) []string {
+	if p == nil {
+		return nil
+	}
+	var ids []string
+	for i := 0; i+1 < len(p.Parts); i++ {
+		ids = append(ids, p.Parts[i].ID)
+	}
+	return ids
+}
+
 // crashID identifies one crash of an endpoint. startedAtMs is the start time of the incarnation that crashed.
 func crashID(endpoint string, startedAtMs uint64) string {
 	return fmt.Sprintf("%s/%d", endpoint, startedAtMs)
@@ -293,9 +317,11 @@
 func (s *Server) recordEvent(placed *placedAttempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	first := !placed.ticket.FirstEventSeen()
-	placed.ticket.Event(time.Now())
+	placed.ticket.Event(now)
 	if first {
+		placed.firstEventAt = now
 		s.sendProgress(placed, false, placement.Served)
 	}
 }
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -64,6 +64,8 @@
 	// it.
 	scheduler *peer.Identity
 	id        uint64
+	// firstEventAt is when the endpoint sent the first data; zero if it has sent none.
+	firstEventAt time.Time
 }
 
 // processKey returns a hash that identifies one incarnation of a daemon.
