Reject requests with a prompt part that crashes engines

Cause: a crashing request is known by workspace, target and body, and no two of these are alike. Change: the shared parts of requests that an engine was about to answer when it crashed are recorded and told to all daemons; a part that was present at three crashes and at no complete answer since is rejected as not run. Parts that were always present together are rejected only together, simultaneous crashes count once, and a crash counts only when the engine's address refuses connections. Evidence: TestPartThatCrashesEndpoints failed before (all 10 endpoints crashed); at most 4 now. Why it works: whatever else the requests hold, the part is what the crashes have in common, and only a sound part is ever answered.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,7 +21,6 @@
 
 	"github.com/chivewind/chivewind/internal/fleet"
 	"github.com/chivewind/chivewind/internal/placement"
-	"github.com/chivewind/chivewind/internal/poison"
 	"github.com/chivewind/chivewind/internal/retry"
 	"github.com/chivewind/chivewind/internal/upstream"
 	"github.com/chivewind/chivewind/peer"
@@ -46,6 +45,8 @@
 	Self() (*peer.Identity, uint64)
 	// Schedulers returns the daemons that may place requests, in order of preference.
 	Schedulers() []*fleet.Member
+	// ForwardsNews reports whether this daemon passes on what it learns from the reports of others.
+	ForwardsNews() bool
 	// Send and SendTo send a datagram without guaranteed delivery.
 	Send(d *peer.Datagram, to *peer.Identity)
 	SendTo(d *peer.Datagram, address netip.AddrPort)
@@ -78,12 +79,10 @@
 	// refusing is set in the last phase of a graceful shutdown.
 	refusing atomic.Bool
 
-	mu       sync.Mutex
-	placer   *placement.Placer
-	budget   *retry.Budget
-	suspects *poison.Table
-	// crashes are the crashes to report to other daemons.
-	crashes []*peer.Crash
+	mu      sync.Mutex
+	placer  *placement.Placer
+	budget  *retry.Budget
+	crashes crashRecords
 	// reserveShares is the number of daemons among which the retry reserve is divided.
 	reserveShares int
 	scheduling    schedulerClient
@@ -97,7 +96,7 @@
 func New(o Options) *Server {
 	s := &Server{
 		opts: o, client: upstream.New(o.HeaderCodec.ReadResponseHead), stats: newStats(o.Metrics),
-		placer: placement.New(rand.Uint64()), suspects: poison.New(0), scheduling: newSchedulerClient(), remote: remoteRequests{},
+		placer: placement.New(rand.Uint64()), crashes: newCrashRecords(), scheduling: newSchedulerClient(), remote: remoteRequests{},
 		servedLogLimiter: rate.NewLimiter(servedLogsPerSecond, servedLogsPerSecond),
 	}
 	s.setReserveShares(1)
@@ -129,31 +128,22 @@
 
 // FillReport implements fleet.Reporter. It adds the load of this daemon's requests and the latest crashes.
 func (s *Server) FillReport(r *peer.Report, full bool) {
+	now := time.Now()
+	repeatEvidence := s.fleet.ForwardsNews()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.placer.FillReport(time.Now(), r, full)
+	s.placer.FillReport(now, r, full)
 	r.Scheduler = s.scheduling.scheduler
-	r.Crashes = s.crashes
-	if len(s.crashes) > maxCrashReports {
-		s.crashes = s.crashes[len(s.crashes)-maxCrashReports:]
-	}
+	s.crashes.fillReport(now, r, repeatEvidence)
 }
 
-// maxCrashReports is the number of recent crashes that are kept and repeated in later reports.
-const maxCrashReports = 16
-
 // HandleReport implements fleet.Reporter. It applies the load and the crashes that another daemon reported.
 func (s *Server) HandleReport(r *peer.Report) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.placer.HandleReport(now, r, r.Scheduler == s.selfKey())
-	for _, c := range r.Crashes {
-		if s.suspects.Add(now, poison.Fingerprint(c.Request), c.Endpoint, crashID(c.Endpoint, c.Id)) {
-			// In a large fleet daemons report only to some others, so those report the crash to the rest.
-			s.crashes = append(s.crashes, c)
-		}
-	}
+	s.handleCrashes(now, r)
 }
 
 // ForgetDaemon implements fleet.Reporter. It discards the load that a daemon reported and the requests that were
--- a/internal/entry/entrytest/entrytest.go
+++ b/internal/entry/entrytest/entrytest.go
@@ -55,6 +55,9 @@
 // Schedulers implements entry.Fleet.
 func (f *Fleet) Schedulers() []*fleet.Member { return f.Members }
 
+// ForwardsNews implements entry.Fleet.
+func (f *Fleet) ForwardsNews() bool { return true }
+
 // Send implements entry.Fleet.
 func (f *Fleet) Send(d *peer.Datagram, _ *peer.Identity) {
 	if f.OnSend != nil {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -10,7 +10,6 @@
 	"github.com/chivewind/chivewind/internal/placement"
 	"github.com/chivewind/chivewind/internal/poison"
 	"github.com/chivewind/chivewind/internal/upstream"
-	"github.com/chivewind/chivewind/peer"
 	"github.com/chivewind/chivewind/traffic"
 )
 
@@ -72,10 +71,10 @@
 
 // runAttempts makes attempts until the request has ended.
 func (s *Server) runAttempts(ctx context.Context, req *request, relay *responseRelay) completion {
-	fingerprint := poison.FingerprintOf(req.workspace.Name, req.method+" "+req.target, req.body)
+	req.fingerprint = poison.FingerprintOf(req.workspace.Name, req.method+" "+req.target, req.body)
 	var avoid []uint32
 	for connectFailures := 0; ; {
-		if end, ok := s.checkSend(ctx, req, fingerprint); ok {
+		if end, ok := s.checkSend(ctx, req); ok {
 			return end
 		}
 		req.placeReq.Avoid = avoid
@@ -84,7 +83,7 @@
 			return placementRefused(req, *refused, connectFailures)
 		}
 		res := s.attempt(ctx, req, choice, attempt, relay)
-		s.recordAttemptEnd(attempt, res.outcome, req, fingerprint, choice)
+		s.recordAttemptEnd(attempt, res, req, choice)
 		if res.completion != nil {
 			return *res.completion
 		}
@@ -127,17 +126,14 @@
 	return notRun(reason, retryAfter)
 }
 
-// checkSend checks before an attempt that the deadline allows it and that the request has not crashed too many
-// endpoints. It returns true with the completion if the request must not be sent.
-func (s *Server) checkSend(ctx context.Context, req *request, f poison.Fingerprint) (completion, bool) {
+// checkSend checks before an attempt that the deadline allows it and that neither the request nor a part of its prompt
+// crashes endpoints. It returns true with the completion if the request must not be sent.
+func (s *Server) checkSend(ctx context.Context, req *request) (completion, bool) {
 	if ctx.Err() != nil || time.Until(req.deadline) < minRemaining {
 		return s.contextEnded(ctx, req), true
 	}
-	s.mu.Lock()
-	crashes := s.suspects.Crashes(time.Now(), f)
-	s.mu.Unlock()
-	if crashes >= poison.CrashLimit {
-		return completion{reply: notRunUnlessSent(req, CrashedEndpoints, crashRetryAfter)}, true
+	if refusal := s.crashRefusal(req); refusal != nil {
+		return completion{reply: refusal}, true
 	}
 	return completion{}, false
 }
@@ -155,50 +151,20 @@
 }
 
 // recordAttemptEnd reports the end of an attempt to placement and to the scheduler. If the endpoint is unreachable and
-// this or an earlier attempt sent the request, it is recorded as a crash of the endpoint that the request may have
-// caused.
-func (s *Server) recordAttemptEnd(placed *placedAttempt, o placement.Outcome, req *request, f poison.Fingerprint, c placement.Choice) {
+// this or an earlier attempt sent the request, it may have crashed because of the request.
+func (s *Server) recordAttemptEnd(placed *placedAttempt, res attemptResult, req *request, c placement.Choice) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	placed.ticket.End(now, o)
-	s.sendProgress(placed, true, o)
+	placed.ticket.End(now, res.outcome)
+	s.sendProgress(placed, true, res.outcome)
 	s.fleet.RequestReport()
-	if o == placement.Unreachable && req.sends > 0 {
-		id := uint64(c.Endpoint.StartedAtMs)
-		if s.suspects.Add(now, f, c.Endpoint.ID, crashID(c.Endpoint.ID, id)) {
-			s.crashes = append(s.crashes, &peer.Crash{Request: uint64(f), Endpoint: c.Endpoint.ID, Id: id})
-		}
-		s.logLostRequest(now, placed, req, c)
-	}
-}
-
-// logLostRequest logs what identifies the cause of a crash: the prompt parts of a request that was running on the
-// endpoint, and for how long its answer had been on its way.
-func (s *Server) logLostRequest(now time.Time, placed *placedAttempt, req *request, c placement.Choice) {
-	answering := time.Duration(0)
-	if !placed.firstEventAt.IsZero() {
-		answering = now.Sub(placed.firstEventAt)
-	}
-	s.opts.Log.Info("endpoint lost a request", "request", req.caller.AttemptID, "endpoint", c.Endpoint.ID, "started_at_ms", c.Endpoint.StartedAtMs,
-		"parts", sharedPartIDs(req.caller.Prompt), "answering_ms", answering.Milliseconds())
-}
-
-// sharedPartIDs returns the IDs of the parts of a prompt that other requests may share.
-func sharedPartIDs(p *traffic.Prompt) []string {
-	if p == nil {
-		return nil
-	}
-	var ids []string
-	for i := 0; i+1 < len(p.Parts); i++ {
-		ids = append(ids, p.Parts[i].ID)
+	switch {
+	case res.outcome == placement.Unreachable && req.sends > 0:
+		s.recordLostRequest(now, placed, req, c)
+	case res.answered:
+		s.recordAnswer(now, req)
 	}
-	return ids
-}
-
-// crashID identifies one crash of an endpoint. startedAtMs is the start time of the incarnation that crashed.
-func crashID(endpoint string, startedAtMs uint64) string {
-	return fmt.Sprintf("%s/%d", endpoint, startedAtMs)
 }
 
 // attemptResult describes how one attempt ended.
@@ -210,6 +176,8 @@
 	sent bool
 	// notRun is set when the endpoint stated that it did not execute the request.
 	notRun bool
+	// answered is set when the endpoint's answer is a success and complete without doubt.
+	answered bool
 	// cause describes the failure, for logs.
 	cause string
 }
--- a/internal/entry/reasons.go
+++ b/internal/entry/reasons.go
@@ -20,6 +20,7 @@
 	DeadlineUnreachable  Reason = "too late for the deadline"
 	NoEndpointReached    Reason = "no endpoint could be reached"
 	CrashedEndpoints     Reason = "the request crashed endpoints"
+	CrashingPart         Reason = "a part of the prompt crashes endpoints"
 	NoTable              Reason = "no routing table yet"
 	ShuttingDown         Reason = "the daemon is stopping"
 	NoRoute              Reason = "no route"
@@ -50,6 +51,7 @@
 	DeadlineUnreachable:  "The expected wait left no time for a response before the deadline; nothing was sent, unless sends counts earlier attempts.",
 	NoEndpointReached:    "No connection could be made to the endpoints tried last; nothing was sent, unless sends counts earlier attempts.",
 	CrashedEndpoints:     "The same request was running on several endpoints when they crashed, so it is not sent to others.",
+	CrashingPart:         "Endpoints crashed one after the other when they began to answer requests with a part of this prompt, so it is not sent; look for the lines about lost requests.",
 	NoTable:              "The daemon had not received a configuration yet; look for its start and for log lines about the store.",
 	ShuttingDown:         "The daemon was stopping; the caller was told to retry at another one.",
 	NoRoute:              "No route of the configuration in force matches the host and path; compare version with the latest one.",
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -108,7 +108,7 @@
 	if !success {
 		outcome, reason = placement.Failed, EndpointError
 	}
-	return attemptResult{outcome: outcome, completion: &completion{status: resp.Status, reason: reason}}
+	return attemptResult{outcome: outcome, answered: success && !resp.EndsWithConnection, completion: &completion{status: resp.Status, reason: reason}}
 }
 
 // mayRetry reports whether another attempt may replace an error response of an endpoint.
@@ -153,7 +153,7 @@
 			if !r.started {
 				r.startStream(resp)
 			}
-			return attemptResult{outcome: placement.Served, completion: &completion{status: resp.Status, reason: Served}}
+			return attemptResult{outcome: placement.Served, answered: !resp.EndsWithConnection, completion: &completion{status: resp.Status, reason: Served}}
 		case err != nil:
 			return r.responseBroken(ctx, err)
 		case len(pending) > maxEventSize:
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -112,6 +112,10 @@
 			end := s.contextEnded(ctx, req)
 			return choice, nil, &end
 		}
+		if refusal := s.crashRefusal(req); refusal != nil {
+			s.endWait(attempt)
+			return choice, nil, &completion{reply: refusal}
+		}
 		s.endLocalReservation(attempt)
 	}
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/chivewind/chivewind/internal/placement"
+	"github.com/chivewind/chivewind/internal/poison"
 	"github.com/chivewind/chivewind/traffic"
 )
 
@@ -38,6 +39,9 @@
 	deadline time.Time
 	// timeoutReason states whether the deadline was set by the route or by the caller.
 	timeoutReason Reason
+	// fingerprint identifies repeats of the request, and parts the parts of its prompt that other requests may share.
+	fingerprint poison.Fingerprint
+	parts       []poison.PartKey
 	// placeReq is the description of the request for placement.
 	placeReq placement.Request
 	// held identifies the place request that the scheduler holds back until an engine has prefilled the request's
@@ -144,6 +148,7 @@
 	req.placeReq = placement.Request{Class: placement.HashClass(req.pool.Name, route.Class), Zone: s.opts.Zone, FirstByte: route.FirstByte, Tier: route.Tier}
 	if p := caller.Prompt; p != nil && req.pool.Engine != nil {
 		req.placeReq.Chain = placement.NewPrefixChain(p)
+		req.parts = sharedPartKeys(p)
 		req.placeReq.Output = p.MaxOutput
 		if p.OutputHint > 0 {
 			req.placeReq.Output = p.OutputHint
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -30,8 +30,29 @@
 	id      string
 	address string
 
-	mu   sync.Mutex
-	seen []*http.Request
+	listener net.Listener
+
+	mu    sync.Mutex
+	seen  []*http.Request
+	conns []net.Conn
+	down  bool
+}
+
+// crash stops listening and closes all connections.
+func (e *endpoint) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = true
+	_ = e.listener.Close()
+	for _, c := range e.conns {
+		_ = c.Close()
+	}
+}
+
+func (e *endpoint) crashed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down
 }
 
 // requests returns the requests received so far.
@@ -44,23 +65,34 @@
 // startEndpoint starts an endpoint. For each request, serve writes the response to the connection w; n is the number
 // of requests received so far, including r.
 func startEndpoint(t *testing.T, id string, serve func(n int, w net.Conn, r *http.Request)) *endpoint {
+	t.Helper()
+	e := newEndpoint(t, id)
+	go e.accept(serve)
+	return e
+}
+
+// newEndpoint returns an endpoint that does not accept connections yet.
+func newEndpoint(t *testing.T, id string) *endpoint {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	e := &endpoint{id: id, address: l.Addr().String()}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go e.handle(c, serve)
+	return &endpoint{id: id, address: l.Addr().String(), listener: l}
+}
+
+func (e *endpoint) accept(serve func(n int, w net.Conn, r *http.Request)) {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
 		}
-	}()
-	return e
+		e.mu.Lock()
+		e.conns = append(e.conns, c)
+		e.mu.Unlock()
+		go e.handle(c, serve)
+	}
 }
 
 func (e *endpoint) handle(c net.Conn, serve func(n int, w net.Conn, r *http.Request)) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -186,6 +186,14 @@
 	return f.members.Schedulers(time.Now(), f.selfState == peer.DaemonState_DAEMON_STATE_READY)
 }
 
+// ForwardsNews reports whether this daemon passes on what it learns from the reports of others. In a large fleet only
+// relays do, since all daemons report to them and they report to all.
+func (f *Fleet) ForwardsNews() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.members.isLarge() || f.members.IsRelay()
+}
+
 // Self returns this daemon's identity and incarnation.
 func (f *Fleet) Self() (*peer.Identity, uint64) { return f.opts.Self, f.incarnation }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -181,7 +181,7 @@
 	c.idleTimeout = keepAliveTimeout(head.Header)
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength,
-		ConnectionClose: head.Close && !closeDelimited, body: head.Body, reader: c.reader, writeResult: writeResult,
+		ConnectionClose: head.Close && !closeDelimited, EndsWithConnection: closeDelimited, body: head.Body, reader: c.reader, writeResult: writeResult,
 		reusable: !head.Close && !closeDelimited && head.ProtoAtLeast(1, 1),
 	}
 }
@@ -222,6 +222,9 @@
 	// ConnectionClose reports whether the endpoint closes the connection after this response although the response
 	// has a length.
 	ConnectionClose bool
+	// EndsWithConnection reports whether the body has neither a length nor chunks and ends when the endpoint closes the
+	// connection, so that a body that was broken off may look complete.
+	EndsWithConnection bool
 
 	body        io.ReadCloser
 	reader      *bufio.Reader
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -182,6 +182,17 @@
 	return newConn(raw), nil
 }
 
+// Refused reports whether the address refuses connections, which means that no process listens there. A connection that
+// can be opened is kept for a later request.
+func (c *Client) Refused(ctx context.Context, address string) bool {
+	cn, err := c.connect(ctx, address, true)
+	if err != nil {
+		return IsConnectionRefused(err)
+	}
+	c.putIdle(address, cn)
+	return false
+}
+
 // takeIdle removes and returns the most recently used idle connection, or nil if there is none.
 func (c *Client) takeIdle(address string) *conn {
 	c.mu.Lock()
