Take a stream that ends inside an event for broken off

What callers saw: a part of an event at the end of a stream that looked complete. Cause: at the end of a body the rest was passed on as the last event; with a body that has neither a length nor chunks, an endpoint that crashes looks like one that is done. Change: the rest of an event at the end, or the end of a stream without a length before its first event, is handled as a broken answer: resumed where the route allows it, otherwise the caller's connection is closed. Events that end with a carriage return are known as complete. Evidence: TestBrokenStream failed for three framings (cut false, body ends with "id: 4 da", one send), TestStreamWithoutLengthOrEvents with status 200; both pass now, with all other tests of the package. Why it works: only a blank line ends an event, whatever the framing says.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -136,28 +136,73 @@
 		}
 		return b.String()
 	}
-	serve := func(_ int, w net.Conn, r *http.Request) {
-		if last := r.Header.Get("Last-Event-Id"); last != "" {
-			n, _ := strconv.Atoi(last)
-			writeEvents(w, r, n+1, 6, true)
-			return
-		}
-		writeEvents(w, r, 1, 3, false)
-	}
-	a, b := startEndpoint(t, "1", serve), startEndpoint(t, "2", serve)
-	s := startSystem(t, unreachedTimeoutMs, a, b)
-	if got := s.call(t, "/stream/1"); !got.cut || got.body != streamText(1, 3) {
-		t.Errorf("not resumable: cut %v, %q", got.cut, got.body)
-	}
-	if n := totalRequests(a, b); n != 1 {
-		t.Errorf("%d sends of a stream that may not be resumed", n)
+	for _, c := range []struct {
+		desc string
+		// breakOff writes events 1 to 3 and a part of the next.
+		breakOff func(w net.Conn, r *http.Request)
+	}{
+		{"connection closed between chunks", func(w net.Conn, r *http.Request) { writeEvents(w, r, 1, 3, false) }},
+		{"no length, closed inside an event", func(w net.Conn, r *http.Request) {
+			writeStream(w, r, "Connection: close", streamText(1, 3)+"id: 4\nda")
+			_ = w.Close()
+		}},
+		{"no length, closed before the end of an event", func(w net.Conn, r *http.Request) {
+			writeStream(w, r, "Connection: close", streamText(1, 3)+"id: 4\ndata: 4\n")
+			_ = w.Close()
+		}},
+		{"a length that ends inside an event", func(w net.Conn, r *http.Request) {
+			text := streamText(1, 3) + "id: 4\nda"
+			writeStream(w, r, fmt.Sprintf("Content-Length: %d", len(text)), text)
+		}},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			serve := func(_ int, w net.Conn, r *http.Request) {
+				if last := r.Header.Get("Last-Event-Id"); last != "" {
+					n, _ := strconv.Atoi(last)
+					writeEvents(w, r, n+1, 6, true)
+					return
+				}
+				c.breakOff(w, r)
+			}
+			a, b := startEndpoint(t, "1", serve), startEndpoint(t, "2", serve)
+			s := startSystem(t, unreachedTimeoutMs, a, b)
+			if got := s.call(t, "/stream/1"); !got.cut || got.body != streamText(1, 3) {
+				t.Errorf("not resumable: cut %v, %q", got.cut, got.body)
+			}
+			if n := totalRequests(a, b); n != 1 {
+				t.Errorf("%d sends of a stream that may not be resumed", n)
+			}
+			got := s.call(t, "/resume/1")
+			if got.cut || got.body != streamText(1, 6) {
+				t.Errorf("resumable: cut %v, %q", got.cut, got.body)
+			}
+			if n := totalRequests(a, b); n != 3 {
+				t.Errorf("%d sends, want one more and its continuation", n-1)
+			}
+		})
 	}
-	got := s.call(t, "/resume/1")
-	if got.cut || got.body != streamText(1, 6) {
-		t.Errorf("resumable: cut %v, %q", got.cut, got.body)
+}
+
+// TestStreamWithoutLengthOrEvents guards against an endpoint that ends after the head of a stream, whose caller is told
+// that the stream is complete.
+func TestStreamWithoutLengthOrEvents(t *testing.T) {
+	s := startSystem(t, unreachedTimeoutMs, startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) {
+		writeStream(w, r, "Connection: close", "")
+		_ = w.Close()
+	}))
+	if got := s.call(t, "/stream/1"); got.status != http.StatusBadGateway {
+		t.Errorf("status %d, cut %v, want 502", got.status, got.cut)
 	}
-	if n := totalRequests(a, b); n != 3 {
-		t.Errorf("%d sends, want one more and its continuation", n-1)
+}
+
+// TestStreamWithCarriageReturns guards against complete events with other line ends that are taken for broken off.
+func TestStreamWithCarriageReturns(t *testing.T) {
+	const text = "id: 1\r\ndata: 1\r\n\r\nid: 2\r\ndata: 2\r\n\r\n"
+	s := startSystem(t, unreachedTimeoutMs, startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) {
+		writeStream(w, r, fmt.Sprintf("Content-Length: %d", len(text)), text)
+	}))
+	if got := s.call(t, "/stream/1"); got.cut || got.body != text {
+		t.Errorf("cut %v, %q", got.cut, got.body)
 	}
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -27,8 +27,19 @@
 	writeGrace = time.Second
 )
 
-// eventTerminator is the blank line that ends a server-sent event.
-var eventTerminator = []byte("\n\n")
+// eventTerminators are the ends of a server-sent event: a blank line after a line.
+var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// completeEvents returns the length of the events in b that are complete.
+func completeEvents(b []byte) int {
+	end := 0
+	for _, terminator := range eventTerminators {
+		if i := bytes.LastIndex(b, terminator); i >= 0 {
+			end = max(end, i+len(terminator))
+		}
+	}
+	return end
+}
 
 // responseRelay relays the responses of endpoints to the caller of one request. If a resumable stream breaks, the
 // response of another endpoint continues it; therefore only complete events are written to the caller.
@@ -133,11 +144,8 @@
 	for {
 		n, err := resp.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		ready := bytes.LastIndex(pending, eventTerminator) + len(eventTerminator)
-		if ready < len(eventTerminator) {
-			ready = 0
-		}
-		if err == io.EOF {
+		ready := completeEvents(pending)
+		if err == io.EOF && len(bytes.TrimSpace(pending[ready:])) == 0 {
 			ready = len(pending)
 		}
 		if ready > 0 {
@@ -149,6 +157,9 @@
 			pending = append(pending[:0], pending[ready:]...)
 		}
 		switch {
+		case err == io.EOF && (len(pending) > 0 || resp.EndsWithConnection && placed.firstEventAt.IsZero()):
+			// The stream ended inside an event, or before the first one without a sign that it is complete.
+			return r.responseBroken(ctx, io.ErrUnexpectedEOF)
 		case err == io.EOF:
 			if !r.started {
 				r.startStream(resp)
@@ -180,7 +191,9 @@
 		r.req.longestGap = max(r.req.longestGap, now.Sub(r.lastWrite))
 	}
 	r.lastWrite = now
-	r.req.events += bytes.Count(events, eventTerminator)
+	for _, terminator := range eventTerminators {
+		r.req.events += bytes.Count(events, terminator)
+	}
 	if id := lastEventID(events); id != "" {
 		r.lastEvent = id
 	}
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -144,6 +144,11 @@
 	_ = w.Close()
 }
 
+// writeStream writes a stream with a header line that tells its framing.
+func writeStream(w net.Conn, r *http.Request, framing, text string) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n%s\r\n\r\n%s", r.Header.Get("Attempt-Id"), framing, text)
+}
+
 const testTable = `{"version":1,"routes":[
  {"name":"once","hostname":"h","prefix":"/once/","route_kind":"unsafe","service":"s","max_attempts":3,"timeout_ms":%d},
  {"name":"safe","hostname":"h","prefix":"/safe/","route_kind":"safe","service":"s","max_attempts":2,"timeout_ms":%d},
