Close a connection to a service after a refusal

What callers saw, by a report of other operators: "not run" for a request that a service had run, when the service wrote an earlier refusal once more on a kept connection. Cause: in `serve` a connection whose answer was a refusal without a body went back to net/http's pool, which takes the second copy for the answer to the next request; services do not name the request they answer. Change: the connection is closed after a refusal. Evidence: TestTroubleRepeatedRefusal (modules/endpoint/plain) failed before, on requests 1 and 3 of 4: ran and is reported as not run. It passes now. Why it works: the next request is never on the connection that a refusal came on. Cost: a new connection after each refusal.

--- a/endpoint/transfer.go
+++ b/endpoint/transfer.go
@@ -70,6 +70,8 @@
 	if t.result.Status == http.StatusServiceUnavailable && t.Response.Header.Get(HeaderNotRun) == "true" {
 		t.result.NotRun = true
 		t.result.Err = errors.New("endpoint refused the request without running it")
+		// The endpoint may write the refusal again, as the answer to the next request on the connection.
+		t.exchange.CloseConnection()
 		t.Close()
 		return nil, t.result
 	}
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -134,6 +134,13 @@
 	return x.conn.stopWrites() > x.writesBefore
 }
 
+// CloseConnection closes the connection, so that it is not used for another request.
+func (x *Exchange) CloseConnection() {
+	if x.conn != nil {
+		_ = x.conn.Close()
+	}
+}
+
 // Stale reports whether a failed exchange looks like one on a pooled connection that the server had
 // already closed: the connection was reused and no byte of a response arrived.
 func (x *Exchange) Stale() bool { return x.Reused && !x.responseStarted.Load() }
--- a/modules/endpoint/plain/plain_test.go
+++ b/modules/endpoint/plain/plain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -188,6 +189,36 @@
 	}
 }
 
+// Guards against an earlier refusal that a service writes once more on the same connection and that is taken for the
+// answer to a request which the service runs.
+func TestTroubleRepeatedRefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+	var runs atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, buf, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, refusal)
+		for {
+			if _, err := http.ReadRequest(buf.Reader); err != nil {
+				return
+			}
+			runs.Add(1)
+			_, _ = io.WriteString(c, refusal+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}))
+	defer server.Close()
+	k := plain.New()
+	for i := range 4 {
+		before := runs.Load()
+		if got := k.Do(context.Background(), attempt(server.URL, http.MethodGet, ""), &recorder{}); got.NotRun && runs.Load() > before {
+			t.Errorf("request %d ran and is reported as not run", i)
+		}
+	}
+}
+
 // Guards against a response without a length or an end marker that is taken for complete when its
 // connection closes.
 func TestLengthUnknown(t *testing.T) {
