Take a stream that ends with a comment for complete

What callers saw: nothing yet; found while reading. Change: blank lines and comments are no part of an event. Evidence: TestCompleteStreams failed before for a comment at the end, with a length and without (cut true), and passes now; TestBrokenStream still passes. Why it works: what may be broken off is a line with a field, and only such a line.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -195,14 +195,19 @@
 	}
 }
 
-// TestStreamWithCarriageReturns guards against complete events with other line ends that are taken for broken off.
-func TestStreamWithCarriageReturns(t *testing.T) {
-	const text = "id: 1\r\ndata: 1\r\n\r\nid: 2\r\ndata: 2\r\n\r\n"
-	s := startSystem(t, unreachedTimeoutMs, startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) {
-		writeStream(w, r, fmt.Sprintf("Content-Length: %d", len(text)), text)
-	}))
-	if got := s.call(t, "/stream/1"); got.cut || got.body != text {
-		t.Errorf("cut %v, %q", got.cut, got.body)
+// TestCompleteStreams guards against complete streams with other line ends, or with a comment at their end, that are
+// taken for broken off.
+func TestCompleteStreams(t *testing.T) {
+	for _, text := range []string{"id: 1\r\ndata: 1\r\n\r\nid: 2\r\ndata: 2\r\n\r\n", "id: 1\ndata: 1\n\n: done\n", "id: 1\ndata: 1\n\n\n"} {
+		for _, framing := range []string{fmt.Sprintf("Content-Length: %d", len(text)), "Connection: close"} {
+			s := startSystem(t, unreachedTimeoutMs, startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) {
+				writeStream(w, r, framing, text)
+				_ = w.Close()
+			}))
+			if got := s.call(t, "/stream/1"); got.cut || got.body != text {
+				t.Errorf("%s: cut %v, %q", framing, got.cut, got.body)
+			}
+		}
 	}
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -41,6 +41,17 @@
 	return end
 }
 
+// insideEvent reports whether a stream that ends with b, which has no complete event, has broken off: b has lines other
+// than blank ones and comments.
+func insideEvent(b []byte) bool {
+	for line := range bytes.Lines(b) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // responseRelay relays the responses of endpoints to the caller of one request. If a resumable stream breaks, the
 // response of another endpoint continues it; therefore only complete events are written to the caller.
 type responseRelay struct {
@@ -145,7 +156,7 @@
 		n, err := resp.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		ready := completeEvents(pending)
-		if err == io.EOF && len(bytes.TrimSpace(pending[ready:])) == 0 {
+		if err == io.EOF && !insideEvent(pending[ready:]) {
 			ready = len(pending)
 		}
 		if ready > 0 {
