Keep the error of a resuming engine out of the stream

What callers saw, by a report of other operators and here in `serve`: the JSON body of an engine's error in the middle of a stream that had begun at another engine. Cause: once the header of a response has been sent, the relay writes the bytes of any later body, also when what was sent is a stream of events and the body answers the attempt to resume it. Change: after a stream has begun only events are written; the response ends as failed as before, with an error event. Evidence: TestTroubleErrorAmidStream failed before for status 500 and 400 (two error bodies each in the caller's stream) and passed for refusals; it passes now, with all tests of the package. Why it works: the body of a response can only follow its own header.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -200,6 +200,10 @@
 		}
 		p = l.body
 	}
+	if !l.bodySent {
+		// An error that answers the attempt to resume a stream is no part of the stream.
+		return nil
+	}
 	_, err := l.out.Write(p)
 	return callerError(err)
 }
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -86,6 +86,26 @@
 	}
 }
 
+// TestTroubleErrorAmidStream guards against the error of the engine that was to resume a stream in the middle of that
+// stream.
+func TestTroubleErrorAmidStream(t *testing.T) {
+	for _, f := range []enginestandin.Faults{{Status: http.StatusInternalServerError}, {Status: http.StatusBadRequest}, {Refuse: true}} {
+		h := newHarness(t, harnessOptions{})
+		h.engines[0].SetFaults(enginestandin.Faults{CutAfter: 3})
+		h.engines[1].SetFaults(f)
+		h.engines[2].SetFaults(f)
+		_, body := h.post(t, "/v1/chat/completions", "", chat("partial length=30", true, ""))
+		for _, line := range strings.Split(body, "\n") {
+			if line != "" && !strings.HasPrefix(line, "data: ") && !strings.HasPrefix(line, "id: ") && !strings.HasPrefix(line, "event: ") {
+				t.Errorf("%+v: line %q is no part of an event", f, line)
+			}
+		}
+		if strings.Contains(body, "fault switch") || strings.Contains(body, "[DONE]") {
+			t.Errorf("%+v: the engine's error or an end marker in %q", f, body)
+		}
+	}
+}
+
 // TestAssembledAnswer guards against assembled responses that lose or repeat tokens when the underlying stream
 // breaks, and against assembled responses with wrong token counts.
 func TestAssembledAnswer(t *testing.T) {
