--- a/modules/endpoint/plain/plain_test.go
+++ b/modules/endpoint/plain/plain_test.go
@@ -219,6 +219,30 @@
 	}
 }
 
+// Guards against a response whose head is cut off and that is taken for a complete one with an empty or short body.
+func TestTroubleTruncatedHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 17\r\n\r\n"
+	var length atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, head[:length.Load()])
+		_ = c.Close()
+	}))
+	defer server.Close()
+	k := plain.New()
+	for n := range len(head) + 1 {
+		length.Store(int64(n))
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			if got := k.Do(context.Background(), attempt(server.URL, method, ""), &recorder{}); got.Complete || got.NotRun {
+				t.Errorf("%s, head ends after %d bytes: %+v", method, n, got)
+			}
+		}
+	}
+}
+
 // Guards against a response without a length or an end marker that is taken for complete when its
 // connection closes.
 func TestLengthUnknown(t *testing.T) {
