Send nothing to a draining endpoint that a scheduler chose

Cause: a daemon that knows an endpoint as draining still sends a request there when the scheduler, whose view is older or who is cut off from the store, has chosen it: endpoints that drain stay known, and only unknown ones were rejected. Change: the choice is rejected if the endpoint accepts no new requests here, and place requests list such endpoints among those to avoid. Why it works: what a daemon has itself confirmed decides on what it sends.

--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -211,7 +211,7 @@
 		query.Id = s.scheduling.lastID
 	}
 	s.scheduling.pendingReplies[query.Id] = replies
-	query.Avoid = append(s.placer.Unreachable(time.Now(), req.pool.Name), req.placeReq.Avoid...)
+	query.Avoid = append(s.placer.Unavailable(time.Now(), req.pool.Name), req.placeReq.Avoid...)
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -242,7 +242,7 @@
 		Hash: reply.Endpoint, FetchFrom: reply.FetchFrom, PrefillTokens: int(reply.ReadTokens), Wait: time.Duration(reply.WaitUs) * time.Microsecond,
 	})
 	if !known {
-		// The endpoint is not yet registered on this daemon.
+		// The endpoint is not yet registered on this daemon, or is draining.
 		s.sendProgress(attempt, true, placement.Canceled)
 		return choice, nil, nil, false
 	}
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -51,6 +51,8 @@
 type endpoint struct {
 	traffic.Endpoint
 	hash uint32
+	// open is set while the endpoint accepts new requests.
+	open bool
 	// own is the load of this daemon's requests, and ownScheduled the part of it that another daemon placed as
 	// the scheduler.
 	own          load
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -167,6 +167,8 @@
 type pool struct {
 	traffic.Pool
 	endpoints []*endpoint
+	// closed holds the known endpoints of the pool that accept none.
+	closed    []uint32
 	partition enginePartition
 	// strictGap is the shortest inter-token target of the pool's classes.
 	strictGap time.Duration
@@ -229,7 +231,10 @@
 		}
 	}
 	for _, p := range b.pools {
-		p.endpoints = p.endpoints[:0]
+		p.endpoints, p.closed = p.endpoints[:0], p.closed[:0]
+	}
+	for _, e := range b.endpoints {
+		e.open = false
 	}
 	for name, list := range byPool {
 		p := b.pools[name]
@@ -238,10 +243,17 @@
 			b.pools[name] = p
 		}
 		for _, info := range list {
-			p.endpoints = append(p.endpoints, b.endpoint(now, info))
+			e := b.endpoint(now, info)
+			e.open = true
+			p.endpoints = append(p.endpoints, e)
 		}
 		p.endpoints = interleaveZones(p.endpoints)
 	}
+	for _, e := range b.endpoints {
+		if p := b.pools[e.Pool]; p != nil && !e.open {
+			p.closed = append(p.closed, e.hash)
+		}
+	}
 }
 
 func (b *Placer) endpoint(now time.Time, info traffic.Endpoint) *endpoint {
@@ -263,28 +275,31 @@
 	return ""
 }
 
-// Resolve fills in the endpoint of a choice made by another daemon. It returns false if the endpoint is not
-// known here.
+// Resolve fills in the endpoint of a choice made by another daemon. It returns false if the endpoint is not known here or
+// does not accept new requests: the other daemon may not have learned yet that it is draining.
 func (b *Placer) Resolve(c Choice) (Choice, bool) {
 	e := b.byHash[c.Hash]
-	if e == nil {
+	if e == nil || !e.open {
 		return c, false
 	}
 	c.Endpoint = e.Endpoint
 	return c, true
 }
 
-// Unreachable returns the hashes of the pool's endpoints that are in back-off after a failed connection.
-func (b *Placer) Unreachable(now time.Time, poolName string) []uint32 {
-	var down []uint32
-	if p := b.pools[poolName]; p != nil {
-		for _, e := range p.endpoints {
-			if now.Before(e.health.downUntil) {
-				down = append(down, e.hash)
-			}
+// Unavailable returns the hashes of the pool's endpoints to which this daemon sends no requests now, which another daemon
+// need not know: those that accept none and those in back-off after a failed connection.
+func (b *Placer) Unavailable(now time.Time, poolName string) []uint32 {
+	p := b.pools[poolName]
+	if p == nil {
+		return nil
+	}
+	hashes := slices.Clone(p.closed)
+	for _, e := range p.endpoints {
+		if now.Before(e.health.downUntil) {
+			hashes = append(hashes, e.hash)
 		}
 	}
-	return down
+	return hashes
 }
 
 // annotatedRequest is a request with the data for scoring that are the same for all endpoints.
