Heed endpoints that say they leave or want a pause

An endpoint that leaves says so in its answers, and one that rejects a request may ask this VM for a pause; neither header was read. Change: the adapter decodes both once for each header that arrives. Leaving is a mark of the incarnation in placement, which acts at once, outlives listings, overrides a scheduler's choice and is told to the other daemons in reports. A pause concerns the daemon that was asked: nothing is sent until its end, then one request at a time until an answer has begun, then no more at a time than when the endpoint rejected one. Requests for which all endpoints are paused are refused as not run with the end of the pause, spread. Decision lines, counters, a reason for `explain`. Ruled out: holding requests until the end of a pause, since their callers may try another VM at once.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,6 +87,8 @@
 	reserveShares int
 	scheduling    schedulerClient
 	remote        remoteRequests
+	// leavingNews are to be reported to other daemons, oldest first.
+	leavingNews []leavingNews
 }
 
 // servedLogsPerSecond limits the log lines about served requests. Requests that ended otherwise are always logged.
@@ -126,7 +128,8 @@
 	s.stats.updateView(v)
 }
 
-// FillReport implements fleet.Reporter. It adds the load of this daemon's requests and the latest crashes.
+// FillReport implements fleet.Reporter. It adds the load of this daemon's requests, the latest crashes and
+// the endpoints that have lately said that they are leaving.
 func (s *Server) FillReport(r *peer.Report, full bool) {
 	now := time.Now()
 	repeatEvidence := s.fleet.ForwardsNews()
@@ -135,15 +138,17 @@
 	s.placer.FillReport(now, r, full)
 	r.Scheduler = s.scheduling.scheduler
 	s.crashes.fillReport(now, r, repeatEvidence)
+	s.fillLeaving(now, r)
 }
 
-// HandleReport implements fleet.Reporter. It applies the load and the crashes that another daemon reported.
+// HandleReport implements fleet.Reporter. It applies what another daemon reported.
 func (s *Server) HandleReport(r *peer.Report) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.placer.HandleReport(now, r, r.Scheduler == s.selfKey())
 	s.handleCrashes(now, r)
+	s.handleLeaving(now, r)
 }
 
 // ForgetDaemon implements fleet.Reporter. It discards the load that a daemon reported and the requests that were
@@ -191,7 +196,7 @@
 	EndpointHeader(caller http.Header, o EndpointRequest) http.Header
 	// ReadResponse parses the status and headers of an endpoint's response.
 	ReadResponse(status int, h http.Header) ResponseInfo
-	// ReadResponseHead parses the parts of a response that the upstream client checks.
+	// ReadResponseHead parses the ID of a response and what it says about the endpoint.
 	ReadResponseHead(status int, h http.Header) upstream.ResponseHead
 	// CallerHeader copies the headers of a response that are forwarded to the caller.
 	CallerHeader(dst, response http.Header)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -80,6 +80,7 @@
 		req.placeReq.Avoid = avoid
 		choice, attempt, refused := s.place(ctx, req)
 		if refused != nil {
+			s.addPause(req, refused)
 			return placementRefused(req, *refused, connectFailures)
 		}
 		res := s.attempt(ctx, req, choice, attempt, relay)
@@ -195,6 +196,7 @@
 	resp, err := s.client.Send(ctx, c.Endpoint.Address, &upstream.Request{
 		Method: req.method, Target: req.target, Host: req.host, Body: req.body, AttemptID: req.caller.AttemptID,
 		Header: s.opts.HeaderCodec.EndpointHeader(req.header, out),
+		OnHead: func(h upstream.ResponseHead) { s.recordEndpointState(req, c, h) },
 	})
 	if err != nil {
 		return s.sendFailed(ctx, req, err)
--- a/internal/entry/reasons.go
+++ b/internal/entry/reasons.go
@@ -19,6 +19,7 @@
 	EnginesFull          Reason = "the engines are full"
 	DeadlineUnreachable  Reason = "too late for the deadline"
 	NoEndpointReached    Reason = "no endpoint could be reached"
+	EndpointsPaused      Reason = "the endpoints want a pause"
 	CrashedEndpoints     Reason = "the request crashed endpoints"
 	CrashingPart         Reason = "a part of the prompt crashes endpoints"
 	NoTable              Reason = "no routing table yet"
@@ -50,6 +51,7 @@
 	EnginesFull:          "Every engine had too many streams or too little memory for another request of the lowest-priority class; nothing was sent, unless sends counts earlier attempts.",
 	DeadlineUnreachable:  "The expected wait left no time for a response before the deadline; nothing was sent, unless sends counts earlier attempts.",
 	NoEndpointReached:    "No connection could be made to the endpoints tried last; nothing was sent, unless sends counts earlier attempts.",
+	EndpointsPaused:      "The endpoints that could take the request had rejected earlier ones and asked this daemon to send none for a time; look for the lines about pauses.",
 	CrashedEndpoints:     "The same request was running on several endpoints when they crashed, so it is not sent to others.",
 	CrashingPart:         "Endpoints crashed one after the other when they began to answer requests with a part of this prompt, so it is not sent; look for the lines about lost requests.",
 	NoTable:              "The daemon had not received a configuration yet; look for its start and for log lines about the store.",
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -153,6 +154,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	req.placeReq.Remaining = time.Until(req.deadline)
+	req.placeReq.Avoid = s.placer.AppendPaused(slices.Clip(req.placeReq.Avoid), now, req.pool.Name)
 	choice, refusal := s.placer.Choose(now, req.pool.Name, &req.placeReq)
 	if refusal != nil {
 		return choice, nil, &completion{reply: notRun(refusalReason(refusal.Reason), refusal.RetryAfter)}
@@ -238,11 +240,11 @@
 		req.held = heldPlacement{scheduler: scheduler.Identity.Daemon, id: query.Id}
 		return placement.Choice{WaitForPrefill: true}, attempt, nil, true
 	}
-	choice, known := s.placer.Resolve(placement.Choice{
+	choice, usable := s.placer.Resolve(time.Now(), placement.Choice{
 		Hash: reply.Endpoint, FetchFrom: reply.FetchFrom, PrefillTokens: int(reply.ReadTokens), Wait: time.Duration(reply.WaitUs) * time.Microsecond,
 	})
-	if !known {
-		// The endpoint is not yet registered on this daemon, or is draining.
+	if !usable {
+		// The endpoint is not yet registered on this daemon, or takes no requests from it now.
 		s.sendProgress(attempt, true, placement.Canceled)
 		return choice, nil, nil, false
 	}
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -131,7 +131,9 @@
 	epoch int
 	plain bool
 	// waiting is set when the request waits for shared parts and has not been sent.
-	waiting  bool
+	waiting bool
+	// probe is set if the request is the one that the endpoint gets after a pause.
+	probe    bool
 	chain    PrefixChain
 	output   int
 	expected time.Duration
@@ -171,6 +173,9 @@
 		b.cache.markPending(now, t.chain, t.e.hash)
 	}
 	t.e.health.started(now)
+	if owner != ScheduledForPeer {
+		t.probe = b.pauses.started(t.e.hash)
+	}
 	return t
 }
 
@@ -229,6 +234,9 @@
 		return
 	}
 	t.firstEventSeen = true
+	if t.owner != ScheduledForPeer {
+		t.placer.pauses.accepted(now, t.e.hash)
+	}
 	t.apply(load{pendingPrefill: -t.load.pendingPrefill})
 	if t.plain {
 		return
@@ -297,6 +305,9 @@
 	if t.waiting {
 		return
 	}
+	if t.probe {
+		t.placer.pauses.probeEnded(e.hash)
+	}
 	if !t.plain && !t.firstEventSeen {
 		t.placer.cache.releasePending(t.chain, e.hash)
 	}
--- /dev/null
+++ b/internal/placement/pauses.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// MaxPause is the longest pause of an endpoint that is kept. A longer one is cut, because it may be an error.
+	MaxPause = 5 * time.Minute
+	// pauseRetention is how long after its end a pause limits the requests in progress on an endpoint, and
+	// pauseLimitInterval is the time in which the limit rises by one.
+	pauseRetention     = time.Minute
+	pauseLimitInterval = 10 * time.Second
+)
+
+// pauses tracks the endpoints that rejected a request and asked this daemon to send no more for a time. They concern only
+// the requests that this daemon sends, and not those that it places for others.
+//
+// After its pause an endpoint gets one request at a time until it has begun to answer one, and then no more at a time than
+// it had when it rejected one. Otherwise the requests that were kept from it would arrive together, be rejected too and
+// lead to the next pause.
+type pauses map[uint32]*pause
+
+type pause struct {
+	until time.Time
+	// probing is set while the first request after the pause is in progress, and answered when there has been an answer.
+	probing  bool
+	answered bool
+	// limit is the number of this daemon's requests that were in progress when the endpoint rejected one, at least 1.
+	limit int
+}
+
+// add starts a pause or extends the one in progress. It returns false if that one lasts longer.
+func (p pauses) add(now time.Time, hash uint32, running int, d time.Duration) bool {
+	maps.DeleteFunc(p, func(_ uint32, known *pause) bool { return now.Sub(known.until) > pauseRetention })
+	until := now.Add(min(d, MaxPause))
+	known := p[hash]
+	if known != nil && now.Before(known.until) {
+		if !until.After(known.until) {
+			return false
+		}
+		known.until = until
+		return true
+	}
+	p[hash] = &pause{until: until, limit: max(running, 1)}
+	return true
+}
+
+// excludes reports whether an endpoint must get no request of this daemon now.
+func (p pauses) excludes(now time.Time, e *endpoint) bool {
+	known := p[e.hash]
+	switch {
+	case known == nil || now.Sub(known.until) > pauseRetention:
+		return false
+	case now.Before(known.until):
+		return true
+	case !known.answered:
+		return known.probing
+	}
+	return e.own.streams >= known.limit+int(now.Sub(known.until)/pauseLimitInterval)
+}
+
+// started records that a request is sent to an endpoint. It returns true if the endpoint has answered none since its pause.
+func (p pauses) started(hash uint32) bool {
+	known := p[hash]
+	if known == nil || known.answered {
+		return false
+	}
+	known.probing = true
+	return true
+}
+
+// accepted records that an endpoint has begun to answer a request.
+func (p pauses) accepted(now time.Time, hash uint32) {
+	if known := p[hash]; known != nil && !now.Before(known.until) {
+		known.answered = true
+	}
+}
+
+// probeEnded records the end of a request for which started returned true.
+func (p pauses) probeEnded(hash uint32) {
+	if known := p[hash]; known != nil {
+		known.probing = false
+	}
+}
+
+// Pause records that an endpoint rejected a request in progress and asked this daemon to send no more for a time, of which
+// at most MaxPause counts. It returns false if the endpoint has asked for a longer pause before.
+func (b *Placer) Pause(now time.Time, hash uint32, d time.Duration) bool {
+	running := 0
+	if e := b.byHash[hash]; e != nil {
+		running = e.own.streams - 1
+	}
+	return b.pauses.add(now, hash, running, d)
+}
+
+// AppendPaused appends the hashes of the pool's endpoints that must get no requests of this daemon now because of a pause.
+func (b *Placer) AppendPaused(hashes []uint32, now time.Time, poolName string) []uint32 {
+	if p := b.pools[poolName]; p != nil && len(b.pauses) > 0 {
+		for _, e := range p.endpoints {
+			if b.pauses.excludes(now, e) {
+				hashes = append(hashes, e.hash)
+			}
+		}
+	}
+	return hashes
+}
+
+// PauseEnd returns the earliest end of the pauses because of which endpoints of the pool get no requests of this daemon. It
+// may have passed. The time is zero if there is no such endpoint.
+func (b *Placer) PauseEnd(now time.Time, poolName string) time.Time {
+	var end time.Time
+	for _, hash := range b.AppendPaused(nil, now, poolName) {
+		if until := b.pauses[hash].until; end.IsZero() || until.Before(end) {
+			end = until
+		}
+	}
+	return end
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -150,6 +150,9 @@
 	strictClasses map[uint32]bool
 	// classes holds the classes of the routing table that have had requests to engine pools.
 	classes map[uint32]classState
+	// leaving holds the endpoints that have said that they are leaving, with the time when they were last listed.
+	leaving map[uint32]time.Time
+	pauses  pauses
 	// schedulerEpoch is incremented with each change of the scheduler.
 	schedulerEpoch int
 }
@@ -160,6 +163,7 @@
 	return &Placer{
 		salt: rendezvous.Hash(salt), pools: map[string]*pool{}, endpoints: map[string]*endpoint{}, byHash: map[uint32]*endpoint{},
 		cache: newCacheIndex(), demand: newDemand(), reportedLoads: map[string][]*endpoint{}, strictClasses: map[uint32]bool{}, classes: map[uint32]classState{},
+		leaving: map[uint32]time.Time{}, pauses: pauses{},
 	}
 }
 
@@ -244,8 +248,10 @@
 		}
 		for _, info := range list {
 			e := b.endpoint(now, info)
-			e.open = true
-			p.endpoints = append(p.endpoints, e)
+			if _, leaving := b.leaving[e.hash]; !leaving {
+				e.open = true
+				p.endpoints = append(p.endpoints, e)
+			}
 		}
 		p.endpoints = interleaveZones(p.endpoints)
 	}
@@ -254,6 +260,7 @@
 			p.closed = append(p.closed, e.hash)
 		}
 	}
+	b.expireLeaving(now)
 }
 
 func (b *Placer) endpoint(now time.Time, info traffic.Endpoint) *endpoint {
@@ -276,10 +283,10 @@
 }
 
 // Resolve fills in the endpoint of a choice made by another daemon. It returns false if the endpoint is not known here or
-// does not accept new requests: the other daemon may not have learned yet that it is draining.
-func (b *Placer) Resolve(c Choice) (Choice, bool) {
+// takes no new requests from this daemon: the other one may not have learned yet that it is draining.
+func (b *Placer) Resolve(now time.Time, c Choice) (Choice, bool) {
 	e := b.byHash[c.Hash]
-	if e == nil || !e.open {
+	if e == nil || !e.open || b.pauses.excludes(now, e) {
 		return c, false
 	}
 	c.Endpoint = e.Endpoint
@@ -287,7 +294,7 @@
 }
 
 // Unavailable returns the hashes of the pool's endpoints to which this daemon sends no requests now, which another daemon
-// need not know: those that accept none and those in back-off after a failed connection.
+// need not know: those that accept none, those that asked for a pause, and those in back-off after a failed connection.
 func (b *Placer) Unavailable(now time.Time, poolName string) []uint32 {
 	p := b.pools[poolName]
 	if p == nil {
@@ -295,7 +302,7 @@
 	}
 	hashes := slices.Clone(p.closed)
 	for _, e := range p.endpoints {
-		if now.Before(e.health.downUntil) {
+		if now.Before(e.health.downUntil) || b.pauses.excludes(now, e) {
 			hashes = append(hashes, e.hash)
 		}
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -121,6 +121,9 @@
 			return nil, c.closeAndCheckSent(writeResult), err
 		}
 		got := parseHead(head.StatusCode, head.Header)
+		if r.OnHead != nil {
+			r.OnHead(got)
+		}
 		if c.reused && got.AttemptID == "" && r.AttemptID != "" && head.StatusCode >= http.StatusMultipleChoices {
 			return nil, true, errUnattributable
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -46,15 +46,24 @@
 	AttemptID string
 	// ForceNewConn prevents the use of an idle connection.
 	ForceNewConn bool
+	// OnHead, if not nil, is called with the header of each response that arrives during the exchange, also of one to an
+	// earlier request.
+	OnHead func(ResponseHead)
 }
 
 // ResponseHead holds the fields that a HeadParser extracts from a response header.
 type ResponseHead struct {
 	// AttemptID is the ID of the request that the response belongs to, or "" if the header has none.
 	AttemptID string
+	// Leaving is set if the endpoint says that it is leaving.
+	Leaving bool
+	// Pause is the time for which an endpoint that rejected a request wants no further ones from this VM; 0 if it stated
+	// none. InvalidPause is its statement if that is malformed.
+	Pause        time.Duration
+	InvalidPause string
 }
 
-// HeadParser extracts the attempt ID from the status and header of a response.
+// HeadParser parses the status and header of a response.
 type HeadParser func(status int, h http.Header) ResponseHead
 
 // Error describes the failure of a request before the header of its response was received.
@@ -86,7 +95,7 @@
 	connsOpened int64
 }
 
-// New returns a Client that matches responses to requests by the attempt IDs that parseHead extracts.
+// New returns a Client that matches responses to requests by the attempt IDs that parseHead returns.
 func New(parseHead HeadParser) *Client {
 	dialer := &net.Dialer{KeepAlive: -1}
 	return &Client{
