Tell callers of requests that all endpoints refused to retry

What callers saw: 502 for a request that every endpoint had refused without running it, when no further endpoint was left. Callers of requests that may run only once do not retry after that. Cause: the choice between 503 and 502 went by whether the request had been sent, although a refusal states that it did not run. Change: it goes by whether an endpoint may have executed it, which the attempts record already. Ruled out: attempts that failed after a send, which count as possibly executed as before (TestSends, TestTroubleLostAnswer). Evidence: TestRefusedByAllEndpoints failed before on three routes (502, want 503) and passes now, with all tests of the package. Why it works: each attempt that did not end with a refusal sets the mark.

--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -99,9 +99,9 @@
 	defer s.mu.Unlock()
 	switch {
 	case s.crashes.requests.Crashes(now, req.fingerprint) >= poison.CrashLimit:
-		return notRunUnlessSent(req, CrashedEndpoints, crashRetryAfter)
+		return notRunUnlessExecuted(req, CrashedEndpoints, crashRetryAfter)
 	case s.crashes.parts.Rejects(now, req.parts):
-		return notRunUnlessSent(req, CrashingPart, crashRetryAfter)
+		return notRunUnlessExecuted(req, CrashingPart, crashRetryAfter)
 	}
 	return nil
 }
--- a/internal/entry/endpointstate_test.go
+++ b/internal/entry/endpointstate_test.go
@@ -187,3 +187,14 @@
 		t.Errorf("status %d after the pause", got.status)
 	}
 }
+
+// TestRefusedByAllEndpoints guards against a request that every endpoint refused without running it, and whose caller is not
+// told so.
+func TestRefusedByAllEndpoints(t *testing.T) {
+	s := startSystem(t, unreachedTimeoutMs, startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) { writeNotRun(w, r) }))
+	for _, path := range []string{"/once/1", "/safe/1", "/stream/1"} {
+		if got := s.call(t, path); got.status != http.StatusServiceUnavailable {
+			t.Errorf("%s: status %d, want 503", path, got.status)
+		}
+	}
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -92,7 +92,7 @@
 		s.opts.Log.Info("attempt failed", "request", req.caller.AttemptID, "endpoint", choice.Endpoint.ID, "sent", res.sent, "not_run", res.notRun, "cause", res.cause)
 		if !res.sent {
 			if connectFailures++; connectFailures >= maxConnectFailures {
-				return completion{reply: notRunUnlessSent(req, NoEndpointReached, noEndpointRetryAfter)}
+				return completion{reply: notRunUnlessExecuted(req, NoEndpointReached, noEndpointRetryAfter)}
 			}
 			continue
 		}
@@ -103,7 +103,7 @@
 }
 
 // placementRefused returns the completion of a request for which place returned the completion end. If end is a 503
-// and an endpoint may have received the request in an earlier attempt, the result is a 502 instead. NoEndpoint becomes
+// and an endpoint may have executed the request in an earlier attempt, the result is a 502 instead. NoEndpoint becomes
 // NoEndpointReached if connections to endpoints have failed. A completion that is not a 503 is returned unchanged: the
 // deadline passed or the caller disconnected while the request was held.
 func placementRefused(req *request, end completion, connectFailures int) completion {
@@ -114,14 +114,14 @@
 	if connectFailures > 0 && reason == NoEndpoint {
 		reason = NoEndpointReached
 	}
-	end.reply = notRunUnlessSent(req, reason, end.reply.retryAfter)
+	end.reply = notRunUnlessExecuted(req, reason, end.reply.retryAfter)
 	return end
 }
 
-// notRunUnlessSent returns the reply to a request that cannot be sent to another endpoint: a 502 if an endpoint may
-// have received it, otherwise a 503, which states that it has not been executed.
-func notRunUnlessSent(req *request, reason Reason, retryAfter time.Duration) *reply {
-	if req.sends > 0 {
+// notRunUnlessExecuted returns the reply to a request that cannot be sent to another endpoint: a 502 if an endpoint may
+// have executed it, otherwise a 503, which states that it has not been executed.
+func notRunUnlessExecuted(req *request, reason Reason, retryAfter time.Duration) *reply {
+	if req.mayHaveRun {
 		return &reply{status: http.StatusBadGateway, reason: reason}
 	}
 	return notRun(reason, retryAfter)
