--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -49,6 +49,19 @@
 			w.Header().Set("Not-Executed", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}, want: entry.EndpointRefused},
+		{desc: "paused", path: "/r/", key: "k", serve: func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+			w.Header().Set("Not-Executed", "1")
+			w.Header().Set("Retry-After", "5")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, setup: func(s *entry.Server) {
+			// An earlier request makes the endpoint ask for a pause.
+			r := httptest.NewRequest(http.MethodPost, "/r/", http.NoBody)
+			r.Host = "h"
+			r.Header.Set("Attempt-Id", "a0")
+			r.Header.Set("Authorization", "Token k")
+			s.ServeHTTP(httptest.NewRecorder(), r)
+		}, want: entry.EndpointsPaused},
 		{desc: "connection closed", path: "/r/", key: "k", serve: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, want: entry.EndpointFailed},
 		{desc: "timeout", path: "/r/", key: "k", serve: func(_ http.ResponseWriter, r *http.Request) {
 			// The server cancels the request's context only after the body has been read.
