--- a/internal/entry/endpointstate.go
+++ b/internal/entry/endpointstate.go
@@ -27,8 +27,8 @@
 	until    time.Time
 }
 
-// recordEndpointState applies what the header of a response says about the endpoint. It takes effect before the response
-// is relayed, without the store and other daemons.
+// recordEndpointState applies what the header of a response says about the endpoint. It takes effect before the
+// response is relayed, without the store and other daemons.
 func (s *Server) recordEndpointState(req *request, c placement.Choice, h upstream.ResponseHead) {
 	if !h.Leaving && h.Pause == 0 && h.InvalidPause == "" {
 		return
@@ -51,8 +51,8 @@
 	}
 }
 
-// setLeaving records that an endpoint is leaving. It returns false if that was known; otherwise the following reports name
-// the endpoint if report is set. The caller holds mu.
+// setLeaving records that an endpoint is leaving. It returns false if that was known; otherwise the following reports
+// name the endpoint if report is set. The caller holds mu.
 func (s *Server) setLeaving(now time.Time, endpoint uint32, report bool) bool {
 	if !s.placer.SetLeaving(now, endpoint) {
 		return false
--- a/internal/entry/endpointstate_test.go
+++ b/internal/entry/endpointstate_test.go
@@ -40,8 +40,8 @@
 	s.SetView(s.fleet.Current)
 }
 
-// TestSchedulerLearnsOfDrainingLate guards against requests that a daemon sends to an endpoint which it knows as draining,
-// because the scheduler does not know it yet.
+// TestSchedulerLearnsOfDrainingLate guards against requests that a daemon sends to an endpoint which it knows as
+// draining, because the scheduler does not know it yet.
 func TestSchedulerLearnsOfDrainingLate(t *testing.T) {
 	serve := func(_ int, w net.Conn, r *http.Request) { writeEvents(w, r, 1, 2, true) }
 	draining, ready := startEndpoint(t, "1", serve), startEndpoint(t, "2", serve)
@@ -65,8 +65,9 @@
 
 const leavingLine = "Server-Leaving: 1\r\n"
 
-// TestLeavingEndpointGetsNoRequests guards against requests to an endpoint that has said in an answer, of any status, that it
-// is leaving, while the store still lists it as ready, and against a mark that counts for the next user of its address.
+// TestLeavingEndpointGetsNoRequests guards against requests to an endpoint that has said in an answer, of any status,
+// that it is leaving, while the store still lists it as ready, and against a mark that counts for the next user of
+// its address.
 func TestLeavingEndpointGetsNoRequests(t *testing.T) {
 	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusInternalServerError, http.StatusServiceUnavailable} {
 		for _, path := range []string{"/once/1", "/safe/1", "/stream/1", "/resume/1"} {
@@ -93,8 +94,8 @@
 	}
 }
 
-// TestNewsOfLeavingEndpoints guards against daemons that are not told by the others that an endpoint is leaving, and against
-// news that are repeated without end.
+// TestNewsOfLeavingEndpoints guards against daemons that are not told by the others that an endpoint is leaving, and
+// against news that are repeated without end.
 func TestNewsOfLeavingEndpoints(t *testing.T) {
 	leaving := startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) { answerWith(w, r, http.StatusOK, leavingLine, "body") })
 	other := startEndpoint(t, "2", func(_ int, w net.Conn, r *http.Request) { answerWith(w, r, http.StatusOK, "", "body") })
@@ -123,8 +124,8 @@
 	}
 }
 
-// TestPlacementUnderWay guards against a request that is sent to an endpoint which has said that it is leaving, or that it
-// wants a pause, while a scheduler was choosing it.
+// TestPlacementUnderWay guards against a request that is sent to an endpoint which has said that it is leaving, or
+// that it wants a pause, while a scheduler was choosing it.
 func TestPlacementUnderWay(t *testing.T) {
 	for desc, lines := range map[string]string{"leaving": leavingLine, "pause": "Not-Executed: 1\r\nRetry-After: 5\r\n"} {
 		t.Run(desc, func(t *testing.T) {
@@ -157,8 +158,8 @@
 	}
 }
 
-// TestPausedEndpoint guards against requests of any route, and retries, that reach an endpoint during a pause which it asked
-// for, and against callers that are told to come back during it.
+// TestPausedEndpoint guards against requests of any route, and retries, that reach an endpoint during a pause which
+// it asked for, and against callers that are told to come back during it.
 func TestPausedEndpoint(t *testing.T) {
 	pausing := startEndpoint(t, "1", func(n int, w net.Conn, r *http.Request) {
 		if n == 1 {
@@ -188,8 +189,8 @@
 	}
 }
 
-// TestRefusedByAllEndpoints guards against a request that every endpoint refused without running it, and whose caller is not
-// told so.
+// TestRefusedByAllEndpoints guards against a request that every endpoint refused without running it, and whose caller
+// is not told so.
 func TestRefusedByAllEndpoints(t *testing.T) {
 	s := startSystem(t, unreachedTimeoutMs, startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) { writeNotRun(w, r) }))
 	for _, path := range []string{"/once/1", "/safe/1", "/stream/1"} {
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -24,8 +24,9 @@
 	// outageThreshold is the time without a reply from the store after which leases of endpoints may have expired:
 	// endpoints renew them about once a second, and three missed renewals end a lease.
 	outageThreshold = 2 * time.Second
-	// watcherMaxAge is the maximum age of a watcher's last reply from the store, and of its last report, before
-	// other daemons start to watch the store themselves. The store replies to a watch without events every platform.WatchReplyInterval.
+	// watcherMaxAge is the maximum age of a watcher's last reply from the store, and of its last report, before other
+	// daemons start to watch the store themselves. The store replies to a watch without events every
+	// platform.WatchReplyInterval.
 	watcherMaxAge = 3 * time.Second
 	// watchCheckInterval is how often a daemon that does not watch checks whether it must.
 	watchCheckInterval = 200 * time.Millisecond
@@ -50,10 +51,10 @@
 	isolatedListInterval = 5 * time.Second
 )
 
-// replicateStore replicates the store into the state until ctx is canceled. Seeds begin with a listing of all keys. Others
-// begin with one that may be seconds old, which is cheap, and get what is newer from the relays or, if the store does
-// not reply, all of the state from a seed. All then watch while they are responsible for watching, and list the keys
-// again if the revision from which they watch has been compacted.
+// replicateStore replicates the store into the state until ctx is canceled. Seeds begin with a listing of all keys.
+// Others begin with one that may be seconds old, which is cheap, and get what is newer from the relays or, if the
+// store does not reply, all of the state from a seed. All then watch while they are responsible for watching, and
+// list the keys again if the revision from which they watch has been compacted.
 func (f *Fleet) replicateStore(ctx context.Context) {
 	delay := minRetryDelay
 	hasListing := !f.isSeed() && (f.listStaleStore(ctx) == nil || f.awaitPeerState(ctx))
@@ -86,7 +87,8 @@
 	}
 }
 
-// isSeed reports whether other daemons get the state from this one when they start, or there is no other to get it from.
+// isSeed reports whether other daemons get the state from this one when they start, or there is no other to get it
+// from.
 func (f *Fleet) isSeed() bool {
 	return len(f.opts.Seeds) == 0 || slices.Contains(f.opts.Seeds, f.opts.Self.ControlAddress)
 }
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -137,8 +137,9 @@
 	maxRecentChangeBytes = 4 << 10
 )
 
-// announceIntervalPerDaemon is the minimum time between two announcements of changes per known daemon. An announcement has
-// up to maxRecentChangeBytes for each of them, so that announcements take at most 32 Mbit/s of a relay's link.
+// announceIntervalPerDaemon is the minimum time between two announcements of changes per known daemon. An
+// announcement has up to maxRecentChangeBytes for each of them, so that announcements take at most 32 Mbit/s of a
+// relay's link.
 const announceIntervalPerDaemon = time.Millisecond
 
 // announceChanges sends the recent changes to the other daemons. Changes that follow each other quickly, as when many
--- a/internal/placement/leaving.go
+++ b/internal/placement/leaving.go
@@ -9,8 +9,8 @@
 // leavingRetention is how long it is kept that an endpoint is leaving after the endpoint was last listed.
 const leavingRetention = 10 * time.Minute
 
-// SetLeaving records that an endpoint has said that it is leaving. From then on this incarnation of it gets no new requests,
-// whatever its state in the store is. It returns false if that was known.
+// SetLeaving records that an endpoint has said that it is leaving. From then on this incarnation of it gets no new
+// requests, whatever its state in the store is. It returns false if that was known.
 func (b *Placer) SetLeaving(now time.Time, hash uint32) bool {
 	if _, known := b.leaving[hash]; known {
 		return false
--- a/internal/placement/pauses.go
+++ b/internal/placement/pauses.go
@@ -14,12 +14,12 @@
 	pauseLimitInterval = 10 * time.Second
 )
 
-// pauses tracks the endpoints that rejected a request and asked this daemon to send no more for a time. They concern only
-// the requests that this daemon sends, and not those that it places for others.
+// pauses tracks the endpoints that rejected a request and asked this daemon to send no more for a time. They concern
+// only the requests that this daemon sends, and not those that it places for others.
 //
-// After its pause an endpoint gets one request at a time until it has begun to answer one, and then no more at a time than
-// it had when it rejected one. Otherwise the requests that were kept from it would arrive together, be rejected too and
-// lead to the next pause.
+// After its pause an endpoint gets one request at a time until it has begun to answer one, and then no more at a time
+// than it had when it rejected one. Otherwise the requests that were kept from it would arrive together, be rejected
+// too and lead to the next pause.
 type pauses map[uint32]*pause
 
 type pause struct {
@@ -61,7 +61,8 @@
 	return e.own.streams >= known.limit+int(now.Sub(known.until)/pauseLimitInterval)
 }
 
-// started records that a request is sent to an endpoint. It returns true if the endpoint has answered none since its pause.
+// started records that a request is sent to an endpoint. It returns true if the endpoint has answered none since its
+// pause.
 func (p pauses) started(hash uint32) bool {
 	known := p[hash]
 	if known == nil || known.answered {
@@ -85,8 +86,8 @@
 	}
 }
 
-// Pause records that an endpoint rejected a request in progress and asked this daemon to send no more for a time, of which
-// at most MaxPause counts. It returns false if the endpoint has asked for a longer pause before.
+// Pause records that an endpoint rejected a request in progress and asked this daemon to send no more for a time, of
+// which at most MaxPause counts. It returns false if the endpoint has asked for a longer pause before.
 func (b *Placer) Pause(now time.Time, hash uint32, d time.Duration) bool {
 	running := 0
 	if e := b.byHash[hash]; e != nil {
@@ -95,7 +96,8 @@
 	return b.pauses.add(now, hash, running, d)
 }
 
-// AppendPaused appends the hashes of the pool's endpoints that must get no requests of this daemon now because of a pause.
+// AppendPaused appends the hashes of the pool's endpoints that must get no requests of this daemon now because of a
+// pause.
 func (b *Placer) AppendPaused(hashes []uint32, now time.Time, poolName string) []uint32 {
 	if p := b.pools[poolName]; p != nil && len(b.pauses) > 0 {
 		for _, e := range p.endpoints {
@@ -107,8 +109,8 @@
 	return hashes
 }
 
-// PauseEnd returns the earliest end of the pauses because of which endpoints of the pool get no requests of this daemon. It
-// may have passed. The time is zero if there is no such endpoint.
+// PauseEnd returns the earliest end of the pauses because of which endpoints of the pool get no requests of this
+// daemon. It may have passed. The time is zero if there is no such endpoint.
 func (b *Placer) PauseEnd(now time.Time, poolName string) time.Time {
 	var end time.Time
 	for _, hash := range b.AppendPaused(nil, now, poolName) {
--- a/internal/placement/pauses_test.go
+++ b/internal/placement/pauses_test.go
@@ -27,8 +27,8 @@
 	pauseSlots   = 4
 	pauseService = 100 * time.Millisecond
 	pauseTick    = 5 * time.Millisecond
-	// pauseDuration is how long the load is played, and minPauseServed the share of what the endpoints can run that must be
-	// served. The requests come in bursts, between which endpoints are idle.
+	// pauseDuration is how long the load is played, and minPauseServed the share of what the endpoints can run that must
+	// be served. The requests come in bursts, between which endpoints are idle.
 	pauseDuration  = 20 * time.Second
 	minPauseServed = 0.25
 )
@@ -189,8 +189,9 @@
 	}
 }
 
-// TestLeavingEndpoint guards against requests to an endpoint that has said that it is leaving: after a listing in which it is
-// ready, after one without it, and when another daemon chose it; and against a mark that outlives the endpoint.
+// TestLeavingEndpoint guards against requests to an endpoint that has said that it is leaving: after a listing in
+// which it is ready, after one without it, and when another daemon chose it; and against a mark that outlives the
+// endpoint.
 func TestLeavingEndpoint(t *testing.T) {
 	b := testPlacer(0, 2)
 	leaving := mustChoose(t, b, start, "q", &Request{Zone: "z0"})
