Let endpoints recover quickly after pauses

What callers would see: an endpoint that rejected everything for some seconds, with pauses, and then runs as before gets one request at a time from each VM for 10 s more. Cause: the limit after a pause is the number of requests in progress at the rejection, whatever the reason for it, and rose by one every 10 s. Change: it doubles every second; only if the endpoint has answered requests between two pauses, so that it rejects them because it has too many, the time doubles, up to 16 s. The rejection of a single request after a pause does not lower the limit. Evidence: TestPausesThatEnd failed before: 1 request at a time 7 s after the last pause, want 64. Why it works: the first pauses of an overload are still followed by short growth, and an endpoint without load of ours is not taken for full.

--- a/internal/placement/pauses.go
+++ b/internal/placement/pauses.go
@@ -2,16 +2,20 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 )
 
 const (
 	// MaxPause is the longest pause of an endpoint that is kept. A longer one is cut, because it may be an error.
 	MaxPause = 5 * time.Minute
-	// pauseRetention is how long after its end a pause limits the requests in progress on an endpoint, and
-	// pauseLimitInterval is the time in which the limit rises by one.
-	pauseRetention     = time.Minute
-	pauseLimitInterval = 10 * time.Second
+	// pauseRetention is how long after its end a pause limits the requests in progress on an endpoint.
+	pauseRetention = time.Minute
+	// minLimitDoubling is the time in which the limit doubles after a pause. It doubles itself, up to
+	// maxLimitDoubling, with each pause of an endpoint that has answered requests since the one before: the endpoint
+	// rejects requests because it has too many, and not for a reason that has gone.
+	minLimitDoubling = time.Second
+	maxLimitDoubling = 16 * time.Second
 )
 
 // pauses tracks the endpoints that rejected a request and asked this daemon to send no more for a time. They concern
@@ -28,7 +32,16 @@
 	probing  bool
 	answered bool
 	// limit is the number of this daemon's requests that were in progress when the endpoint rejected one, at least 1.
-	limit int
+	// It doubles every doubling.
+	limit    int
+	doubling time.Duration
+}
+
+// limitAt returns the number of requests that may be in progress at a time after the pause.
+func (p *pause) limitAt(now time.Time) int {
+	const maxDoublings = 16 // no endpoint has more requests in progress than 1<<maxDoublings
+	doublings := min(float64(now.Sub(p.until))/float64(p.doubling), maxDoublings)
+	return int(float64(p.limit) * math.Exp2(doublings))
 }
 
 // add starts a pause or extends the one in progress. It returns false if that one lasts longer.
@@ -43,7 +56,15 @@
 		known.until = until
 		return true
 	}
-	p[hash] = &pause{until: until, limit: max(running, 1)}
+	next := &pause{until: until, limit: max(running, 1), doubling: minLimitDoubling}
+	switch {
+	case known != nil && known.answered:
+		next.doubling = min(2*known.doubling, maxLimitDoubling)
+	case known != nil:
+		// A single request is no measure of what the endpoint can run.
+		next.limit, next.doubling = known.limit, known.doubling
+	}
+	p[hash] = next
 	return true
 }
 
@@ -58,7 +79,7 @@
 	case !known.answered:
 		return known.probing
 	}
-	return e.own.streams >= known.limit+int(now.Sub(known.until)/pauseLimitInterval)
+	return e.own.streams >= known.limitAt(now)
 }
 
 // started records that a request is sent to an endpoint. It returns true if the endpoint has answered none since its
--- a/internal/placement/pauses_test.go
+++ b/internal/placement/pauses_test.go
@@ -171,6 +171,29 @@
 	}
 }
 
+// TestPausesThatEnd guards against an endpoint that rejected all requests for some seconds and gets only a few long after.
+func TestPausesThatEnd(t *testing.T) {
+	b := testPlacer(0, 1)
+	choice := mustChoose(t, b, start, "q", &Request{Zone: "z0"})
+	now := start
+	for range 5 {
+		ticket := b.Start(now, "q", &Request{Zone: "z0"}, choice, Local)
+		b.Pause(now, choice.Hash, time.Second)
+		ticket.End(now, Refused)
+		now = now.Add(time.Second)
+	}
+	running := 0
+	for ended := now; now.Sub(ended) < 7*time.Second; now = now.Add(100 * time.Millisecond) {
+		for len(b.AppendPaused(nil, now, "q")) == 0 && running < 64 {
+			b.Start(now, "q", &Request{Zone: "z0"}, choice, Local).Event(now)
+			running++
+		}
+	}
+	if running < 64 {
+		t.Errorf("%d requests at a time 7 s after the last pause, want 64", running)
+	}
+}
+
 // TestPausesOfPeers guards against a scheduler whose own pauses keep the requests of other daemons from an endpoint.
 func TestPausesOfPeers(t *testing.T) {
 	b := testPlacer(1, 0)
