Play leaving endpoints and pauses in the soak

Change: two more faults, in series and overlapping with the others, and a check of what reaches an endpoint after it has told a daemon, by daemon and instance. Not proved: a trial with pauses ignored was not run.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -57,7 +57,7 @@
 
 // TestSoak checks the guarantees to callers and endpoints when several faults overlap. It guards against a
 // non-idempotent request that runs twice, a request that is reported as not run but did run, a response to a
-// different request, a truncated response that looks complete, a configuration that never takes effect, and a
+// different request, a truncated response that looks complete, a request to an endpoint that is leaving or wants a pause, a configuration that never takes effect, and a
 // system that does not recover.
 func TestSoak(t *testing.T) {
 	run := append([]uint64(nil), regressionSeeds...)
@@ -86,7 +86,7 @@
 	for time.Now().Before(end) {
 		d := s.daemons[random.IntN(len(s.daemons))]
 		duration := time.Duration(200+random.IntN(1500)) * time.Millisecond
-		switch random.IntN(10) {
+		switch random.IntN(12) {
 		case 0:
 			s.recordFault("kill", d.name)
 			d.restart(syscall.SIGKILL)
@@ -120,6 +120,14 @@
 			e := s.endpoints[random.IntN(len(s.endpoints))]
 			s.recordFault("endpoint fails", e.id())
 			e.failFor(duration)
+		case 10:
+			e := s.endpoints[random.IntN(len(s.endpoints))]
+			s.recordFault("endpoint leaves", e.id())
+			e.leaveFor(s, 2*duration)
+		case 11:
+			e := s.endpoints[random.IntN(len(s.endpoints))]
+			s.recordFault("endpoint wants pauses", e.id())
+			e.pauseFor(duration)
 		}
 		<-time.After(time.Duration(50+random.IntN(400)) * time.Millisecond)
 	}
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -45,10 +46,16 @@
 	results []result
 	// lastID is the number in the last attempt ID.
 	lastID int
+	// senders are the daemons to which attempts were sent, and marks what endpoints told daemons last. markProblems are
+	// the violations of earlier ones, and marksSeen is their number.
+	senders      map[string]sender
+	marks        map[markKey]*mark
+	markProblems []string
+	marksSeen    int
 }
 
 func newSystem(t *testing.T, seed uint64) *system {
-	s := &system{t: t, store: standin.New(), done: make(chan struct{}), faults: map[string]int{}, runs: map[string]int{}}
+	s := &system{t: t, store: standin.New(), done: make(chan struct{}), faults: map[string]int{}, runs: map[string]int{}, senders: map[string]sender{}, marks: map[markKey]*mark{}}
 	t.Cleanup(s.store.Close)
 	s.publishConfig()
 	for i := range endpointCount {
@@ -106,6 +113,7 @@
 	}
 	for _, e := range s.endpoints {
 		e.failFor(0)
+		e.pauseFor(0)
 	}
 }
 
@@ -139,6 +147,8 @@
 	stopping bool
 	// exited is closed when the current process has exited.
 	exited chan struct{}
+	// epoch counts the disturbances of the process: signals, and the ends of pauses.
+	epoch atomic.Int64
 }
 
 func newDaemon(t *testing.T, s *system, dir string, i int, seed uint64) *daemon {
@@ -257,6 +267,7 @@
 
 // restart signals the process and, in the background, starts it again after its exit.
 func (d *daemon) restart(signal syscall.Signal) {
+	d.epoch.Add(1)
 	cmd, exited := d.process()
 	select {
 	case <-exited:
@@ -278,8 +289,12 @@
 
 func (d *daemon) pause(duration time.Duration) {
 	cmd, _ := d.process()
+	d.epoch.Add(1)
 	_ = cmd.Process.Signal(syscall.SIGSTOP)
-	time.AfterFunc(duration, func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
+	time.AfterFunc(duration, func() {
+		d.epoch.Add(1)
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+	})
 }
 
 // injectStoreFault injects a fault of one of three kinds into the connections to the store for the given time.
--- a/test/soak/traffic_test.go
+++ b/test/soak/traffic_test.go
@@ -24,7 +24,10 @@
 	// instance is the number of the current instance, which replace increments.
 	instance     int
 	failingUntil time.Time
-	server       *http.Server
+	pausingUntil time.Time
+	// leaving is the instance that says that it is leaving.
+	leaving string
+	server  *http.Server
 }
 
 func newEndpoint(s *system, index int) *endpoint {
@@ -98,6 +101,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.addMarks(name, attempt, h) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	failing := e.failing()
 	// While failing, the endpoint refuses attempts whose ID has an even length and aborts the others.
 	if failing && len(attempt)%2 == 0 {
@@ -192,6 +199,11 @@
 	s.mu.Lock()
 	s.lastID++
 	r := result{attempt: fmt.Sprint("a", s.lastID), path: path}
+	for _, d := range s.daemons {
+		if d.entry == address {
+			s.senders[r.attempt] = sender{daemon: d, at: time.Now()}
+		}
+	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -231,6 +243,10 @@
 func (s *system) violations() (problems []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for key := range s.marks {
+		s.closeMark(key)
+	}
+	problems = append(problems, s.markProblems...)
 	for _, r := range s.results {
 		runs := s.runs[r.attempt]
 		report := func(text string) {
@@ -274,5 +290,5 @@
 	for _, r := range s.results {
 		statuses[r.status]++
 	}
-	return fmt.Sprintf("%d attempts, by status %v", len(s.results), statuses)
+	return fmt.Sprintf("%d attempts, by status %v, %d marks of endpoints", len(s.results), statuses, s.marksSeen)
 }
