Let all endpoints of the soak ask for pauses together

Cause: one endpoint asked for pauses of 0.8 s, of which 0.3 s counted, while the others took its requests, so that a daemon that ignores pauses could pass. Change: all endpoints ask for pauses of 2 s at the same time; the check and its bounds stay.

--- a/test/soak/marks_test.go
+++ b/test/soak/marks_test.go
@@ -10,6 +10,8 @@
 	// markGrace is the time after an answer with a mark from which requests of the same daemon count. The stated bound for
 	// endpoints that leave is longer.
 	markGrace = 500 * time.Millisecond
+	// pauseTime is the pause that an endpoint asks for.
+	pauseTime = 2 * time.Second
 	// maxPausedRequests is the number of requests of one daemon that may still arrive during a pause.
 	maxPausedRequests = 2
 )
@@ -84,11 +86,11 @@
 	old := s.marks[key]
 	switch {
 	case pausing:
-		h.Set("Retry-After", "0.8")
+		h.Set("Retry-After", fmt.Sprint(pauseTime.Seconds()))
 		h.Set("Not-Executed", "1")
 		if old == nil || now.After(old.until) || old.epoch != int(epoch) {
 			s.closeMark(key)
-			s.marks[key] = &mark{at: now, until: now.Add(800 * time.Millisecond), epoch: int(epoch)}
+			s.marks[key] = &mark{at: now, until: now.Add(pauseTime), epoch: int(epoch)}
 		}
 	case leaving:
 		h.Set("Server-Leaving", "1")
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -57,8 +57,8 @@
 
 // TestSoak checks the guarantees to callers and endpoints when several faults overlap. It guards against a
 // non-idempotent request that runs twice, a request that is reported as not run but did run, a response to a
-// different request, a truncated response that looks complete, a request to an endpoint that is leaving or wants a pause, a configuration that never takes effect, and a
-// system that does not recover.
+// different request, a truncated response that looks complete, a request to an endpoint that is leaving or wants a
+// pause, a configuration that never takes effect, and a system that does not recover.
 func TestSoak(t *testing.T) {
 	run := append([]uint64(nil), regressionSeeds...)
 	for i := range *seeds {
@@ -125,9 +125,10 @@
 			s.recordFault("endpoint leaves", e.id())
 			e.leaveFor(s, 2*duration)
 		case 11:
-			e := s.endpoints[random.IntN(len(s.endpoints))]
-			s.recordFault("endpoint wants pauses", e.id())
-			e.pauseFor(duration)
+			s.recordFault("endpoints want pauses", "")
+			for _, e := range s.endpoints {
+				e.pauseFor(duration)
+			}
 		}
 		<-time.After(time.Duration(50+random.IntN(400)) * time.Millisecond)
 	}
