Show that news of endpoints reach large fleets

The news about prompt parts and about leaving endpoints each had their own queue with the same rules. Change: both use fleet.News, which the simulated fleets use as well; behaviour is unchanged.

--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
+	"github.com/chivewind/chivewind/internal/fleet"
 	"github.com/chivewind/chivewind/internal/placement"
 	"github.com/chivewind/chivewind/internal/poison"
 	"github.com/chivewind/chivewind/peer"
@@ -15,9 +15,8 @@
 const (
 	// maxCrashReports is the number of recent crashes by request that are kept and repeated in later reports.
 	maxCrashReports = 16
-	// newsTTL is how long reports repeat what is new about prompt parts, and maxNews how much of it a report has.
-	newsTTL = 1500 * time.Millisecond
-	maxNews = 48
+	// maxPartNews is the number of news about prompt parts in a report.
+	maxPartNews = 48
 	// maxEvidence is the number of older crashes, of parts that are rejected, that reports repeat for daemons that have
 	// started since.
 	maxEvidence = 16
@@ -36,8 +35,8 @@
 	parts    *poison.PartTable
 	// reports are the crashes by request to report to other daemons.
 	reports []*peer.Crash
-	// news are to be reported to other daemons, oldest first.
-	news []partNews
+	// news are the crashes and answers to report to other daemons.
+	news fleet.News[partNews]
 	// unconfirmed holds the parts of the requests that were lost with a connection to an endpoint, until a probe has
 	// shown whether the endpoint has crashed.
 	unconfirmed map[poison.CrashID][]lostParts
@@ -48,7 +47,6 @@
 	crash    *peer.PartCrash
 	answered *peer.AnsweredPart
 	at       time.Time
-	until    time.Time
 }
 
 // lostParts are the shared prompt parts of a request that was lost at a time.
@@ -167,9 +165,7 @@
 		for i, part := range parts {
 			keys[i] = uint64(part)
 		}
-		s.crashes.news = append(s.crashes.news, partNews{
-			crash: &peer.PartCrash{Endpoint: id.Endpoint, StartedAtMs: id.StartedAtMs, Parts: keys}, at: at, until: now.Add(newsTTL),
-		})
+		s.crashes.news.Add(now, partNews{crash: &peer.PartCrash{Endpoint: id.Endpoint, StartedAtMs: id.StartedAtMs, Parts: keys}, at: at})
 	}
 }
 
@@ -185,7 +181,7 @@
 // set. The caller holds mu.
 func (s *Server) addAnsweredPart(now, at time.Time, part poison.PartKey, report bool) {
 	if s.crashes.parts.Answered(now, at, part) && report {
-		s.crashes.news = append(s.crashes.news, partNews{answered: &peer.AnsweredPart{Part: uint64(part)}, at: at, until: now.Add(newsTTL)})
+		s.crashes.news.Add(now, partNews{answered: &peer.AnsweredPart{Part: uint64(part)}, at: at})
 	}
 }
 
@@ -197,8 +193,7 @@
 		c.reports = c.reports[len(c.reports)-maxCrashReports:]
 	}
 	age := func(at time.Time) uint32 { return uint32(max(now.Sub(at).Milliseconds(), 0)) }
-	c.news = slices.DeleteFunc(c.news, func(n partNews) bool { return now.After(n.until) })
-	for _, n := range c.news[max(len(c.news)-maxNews, 0):] {
+	for _, n := range c.news.Latest(now, maxPartNews) {
 		if n.crash != nil {
 			r.PartCrashes = append(r.PartCrashes, &peer.PartCrash{Endpoint: n.crash.Endpoint, StartedAtMs: n.crash.StartedAtMs, Parts: n.crash.Parts, AgeMs: age(n.at)})
 		} else {
--- a/internal/entry/endpointstate.go
+++ b/internal/entry/endpointstate.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/chivewind/chivewind/internal/placement"
@@ -21,12 +20,6 @@
 	maxLeavingNews = 64
 )
 
-// leavingNews is an endpoint that has said that it is leaving; reports name it until a time.
-type leavingNews struct {
-	endpoint uint32
-	until    time.Time
-}
-
 // recordEndpointState applies what the header of a response says about the endpoint. It takes effect before the
 // response is relayed, without the store and other daemons.
 func (s *Server) recordEndpointState(req *request, c placement.Choice, h upstream.ResponseHead) {
@@ -59,17 +52,14 @@
 	}
 	s.stats.count("chivewind_entry_leaving_endpoints_total")
 	if report {
-		s.leavingNews = append(s.leavingNews, leavingNews{endpoint: endpoint, until: now.Add(newsTTL)})
+		s.leavingNews.Add(now, endpoint)
 	}
 	return true
 }
 
 // fillLeaving adds the endpoints that have lately said that they are leaving. The caller holds mu.
 func (s *Server) fillLeaving(now time.Time, r *peer.Report) {
-	s.leavingNews = slices.DeleteFunc(s.leavingNews, func(n leavingNews) bool { return now.After(n.until) })
-	for _, n := range s.leavingNews[max(len(s.leavingNews)-maxLeavingNews, 0):] {
-		r.Leaving = append(r.Leaving, n.endpoint)
-	}
+	r.Leaving = s.leavingNews.Latest(now, maxLeavingNews)
 }
 
 // handleLeaving applies what another daemon reported about leaving endpoints. The caller holds mu.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,8 +87,8 @@
 	reserveShares int
 	scheduling    schedulerClient
 	remote        remoteRequests
-	// leavingNews are to be reported to other daemons, oldest first.
-	leavingNews []leavingNews
+	// leavingNews are the endpoints to report to other daemons as leaving.
+	leavingNews fleet.News[uint32]
 }
 
 // servedLogsPerSecond limits the log lines about served requests. Requests that ended otherwise are always logged.
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -66,6 +66,7 @@
 	inbox   chan simPacket
 	closed  chan struct{}
 	cancel  context.CancelFunc
+	news    *simNews
 
 	dead    bool
 	noStore bool
@@ -119,10 +120,11 @@
 		sim: s, class: class, address: netip.MustParseAddrPort(self.ReportAddress), inbox: make(chan simPacket, 4096),
 		closed: make(chan struct{}), inForceSince: map[int64]time.Time{},
 	}
+	d.news = &simNews{d: d, learnedAt: map[uint32]time.Time{}}
 	var err error
 	d.Fleet, err = New(Options{
 		Self: self, Codec: simCodec(), KV: &simKV{d}, Peers: simPeers{d}, Seeds: seeds, MinLeaseTTL: time.Second, DrainBound: 4 * time.Second,
-		Socket: d, Reporter: simReporter{}, OnViewChange: d.viewChanged, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+		Socket: d, Reporter: d.news, OnViewChange: d.viewChanged, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
 	})
 	if err != nil {
 		s.t.Fatal(err)
