Keep the retries of a window when a daemon's share of the reserve changes

What endpoints could see: more retries in a window than the fleet is allowed. Cause: a daemon that learned of another one replaced its budget by a new one, which had counted no retries, with each step of a start up to the whole reserve. Change: only the reserve changes; it is 1 until the first maintenance, before which a daemon is not ready.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,7 +34,7 @@
 	View() *fleet.View
 	// RequestReport requests that the next load report is sent soon.
 	RequestReport()
-	// Size returns the number of live daemons, including this one.
+	// Size returns the number of known daemons, live or not, including this one.
 	Size() int
 	// TimeSinceStoreReply returns the time since the configuration store last replied to this daemon or to another live
 	// daemon.
@@ -83,7 +83,7 @@
 	placer  *placement.Placer
 	budget  *retry.Budget
 	crashes crashRecords
-	// reserveShares is the number of daemons among which the retry reserve is divided.
+	// reserveShares is the number of daemons among which the retry reserve is divided; 0 until Maintain has been called.
 	reserveShares int
 	scheduling    schedulerClient
 	remote        remoteRequests
@@ -100,23 +100,17 @@
 		opts: o, client: upstream.New(o.HeaderCodec.ReadResponseHead), stats: newStats(o.Metrics),
 		placer: placement.New(rand.Uint64()), crashes: newCrashRecords(), scheduling: newSchedulerClient(), remote: remoteRequests{},
 		servedLogLimiter: rate.NewLimiter(servedLogsPerSecond, servedLogsPerSecond),
+		budget:           retry.NewBudget(retry.Options{Ratio: o.Bounds.RetryRatio, Reserve: minReserveShare, Window: o.Bounds.RetryWindow.D()}),
 	}
-	s.setReserveShares(1)
 	return s
 }
 
+// minReserveShare is the retry reserve of a daemon that does not know yet how many others there are.
+const minReserveShare = 1
+
 // SetFleet sets the source of configuration and the connection to other daemons.
 func (s *Server) SetFleet(f Fleet) { s.fleet = f }
 
-// setReserveShares creates a retry budget with one n-th of the fleet's retry reserve. The caller holds mu, or the
-// server is not shared yet.
-func (s *Server) setReserveShares(n int) {
-	s.reserveShares = n
-	s.budget = retry.NewBudget(retry.Options{
-		Ratio: s.opts.Bounds.RetryRatio, Reserve: max(s.opts.Bounds.RetryReserve/n, 1), Window: s.opts.Bounds.RetryWindow.D(),
-	})
-}
-
 // SetView applies a new routing table and endpoint list to placement.
 func (s *Server) SetView(v *fleet.View) {
 	s.mu.Lock()
@@ -180,7 +174,8 @@
 	if size > s.reserveShares {
 		// The share does not grow when daemons leave, because those daemons may already have used their shares in
 		// the current window.
-		s.setReserveShares(size)
+		s.reserveShares = size
+		s.budget.SetReserve(s.opts.Bounds.RetryReserve / size)
 	}
 }
 
--- a/internal/entry/entrytest/entrytest.go
+++ b/internal/entry/entrytest/entrytest.go
@@ -20,6 +20,8 @@
 	Age time.Duration
 	// Outdated is returned by Behind.
 	Outdated bool
+	// Daemons is returned by Size; 0 stands for 1.
+	Daemons int
 	// Members are returned by Schedulers.
 	Members []*fleet.Member
 	// OnSend, if not nil, is called with each datagram that is sent.
@@ -39,7 +41,7 @@
 func (f *Fleet) RequestReport() {}
 
 // Size implements entry.Fleet.
-func (f *Fleet) Size() int { return 1 }
+func (f *Fleet) Size() int { return max(f.Daemons, 1) }
 
 // TimeSinceStoreReply implements entry.Fleet.
 func (f *Fleet) TimeSinceStoreReply() time.Duration { return f.Age }
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -158,6 +158,13 @@
  "services":[{"name":"s"},{"name":"m","engine":{"slots":64,"kv_capacity":100000}}],"limits":{"max_body_bytes":1000},
  "tenants":[{"name":"t1","api_keys":["k1"]}]}`
 
+const (
+	// retryRatio limits the retries of a fleet in a window to a fraction of its requests.
+	retryRatio = 0.2
+	// retryReserve is the number of retries of a fleet in a window that are allowed regardless of retryRatio.
+	retryReserve = 5
+)
+
 // system is a Server behind an HTTP listener, with a fake fleet.
 type system struct {
 	*entry.Server
@@ -190,10 +197,11 @@
 	s := &system{fleet: &entrytest.Fleet{Current: view}, metrics: metrics.NewRegistry()}
 	s.Server = entry.New(entry.Options{
 		Zone: "z", HeaderCodec: codec, Log: log, Metrics: s.metrics,
-		Bounds: settings.Bounds{RetryRatio: 0.2, RetryReserve: 5, RetryWindow: config.Duration(10 * time.Second)},
+		Bounds: settings.Bounds{RetryRatio: retryRatio, RetryReserve: retryReserve, RetryWindow: config.Duration(10 * time.Second)},
 	})
 	s.SetFleet(s.fleet)
 	s.SetView(view)
+	s.Maintain()
 	s.httpServer = httptest.NewServer(s.Server)
 	t.Cleanup(func() {
 		s.httpServer.CloseClientConnections()
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -67,6 +67,9 @@
 	return &Budget{opts: opts, counters: map[string]*counter{}}
 }
 
+// SetReserve changes the reserve to n, at least 1. Requests and retries stay counted.
+func (b *Budget) SetReserve(n int) { b.opts.Reserve = max(n, 1) }
+
 // CountRequest counts the first attempt of a request of a class.
 func (b *Budget) CountRequest(now time.Time, class string) {
 	index := b.bucketIndex(now)
