Divide the retry reserve among all known daemons

Cause: the reserve was divided among the daemons from which reports had come, so that daemons which start together, or are cut off from each other, each took more than its share; a daemon that had heard of none took all of it. Change: Fleet.Size counts the known daemons, also silent ones, which the store lists or others name. The simulated fleets check their completeness with their own count of live daemons, as before. Evidence: TestSizeCountsDaemonsNotHeardYet failed before (1, want 3).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -197,11 +197,12 @@
 // Self returns this daemon's identity and incarnation.
 func (f *Fleet) Self() (*peer.Identity, uint64) { return f.opts.Self, f.incarnation }
 
-// Size returns the number of live daemons, including this one.
+// Size returns the number of known daemons, including this one and those that are silent, which may be cut off from this
+// one only.
 func (f *Fleet) Size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.members.Live(time.Now())) + 1
+	return f.members.Size() + 1
 }
 
 // TimeSinceStoreReply returns the time since the store last replied to this daemon or to any live daemon.
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -147,3 +147,14 @@
 		t.Error("a leaving daemon is the preferred scheduler")
 	}
 }
+
+// TestSizeCountsDaemonsNotHeardYet guards against daemons that start together, or are cut off from each other, and each
+// takes the retry reserve of the fleet for its own.
+func TestSizeCountsDaemonsNotHeardYet(t *testing.T) {
+	f := newTestFleet(t, func(*View) {})
+	f.members.LearnIdentity(time.Now(), testIdentity("b", "z"))
+	f.members.LearnIdentity(time.Now(), testIdentity("c", "z"))
+	if got := f.Size(); got != 3 {
+		t.Errorf("Size returned %d, want 3", got)
+	}
+}
--- a/internal/fleet/spread_test.go
+++ b/internal/fleet/spread_test.go
@@ -116,7 +116,7 @@
 		}
 	}
 	for _, d := range s.daemons {
-		if !d.dead && d.Size() != live {
+		if !d.dead && d.liveCount() != live {
 			incomplete++
 		}
 	}
@@ -125,6 +125,13 @@
 	}
 }
 
+// liveCount returns the number of daemons that a daemon regards as live, including itself.
+func (d *simDaemon) liveCount() int {
+	d.Fleet.mu.Lock()
+	defer d.Fleet.mu.Unlock()
+	return len(d.members.Live(time.Now())) + 1
+}
+
 // relays returns the live daemons that regard themselves as relays.
 func (s *simFleet) relays() (relays []*simDaemon) {
 	for _, d := range s.daemons {
