Let a daemon that is leaving not become ready again

Cause: the maintenance checks that a daemon is starting and then sets it ready; a SIGTERM in between sets it leaving first, and the daemon counts as ready and is returned to callers until it exits. On a VM with a fifth of a core the two steps may be milliseconds apart. Change: leaving is final. Evidence: TestLeavingIsFinal failed before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -138,11 +138,14 @@
 // Close closes the socket for reports. When the context of Start is canceled, the socket is closed as well.
 func (f *Fleet) Close() { _ = f.socket.Close() }
 
-// SetState sets the state of this daemon and announces it to the other daemons when it changes.
+// SetState sets the state of this daemon and announces it to the other daemons when it changes. A daemon that is leaving
+// stays so, also if it becomes ready at the same moment.
 func (f *Fleet) SetState(s peer.DaemonState) {
 	f.mu.Lock()
-	changed := f.selfState != s
-	f.selfState = s
+	changed := f.selfState != s && f.selfState != peer.DaemonState_DAEMON_STATE_LEAVING
+	if changed {
+		f.selfState = s
+	}
 	f.mu.Unlock()
 	if changed {
 		f.opts.Log.Info("daemon state changed", "state", s.String())
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -158,3 +158,14 @@
 		t.Errorf("Size returned %d, want 3", got)
 	}
 }
+
+// TestLeavingIsFinal guards against a daemon that is stopped at the moment at which it becomes ready, and counts as ready
+// while it stops.
+func TestLeavingIsFinal(t *testing.T) {
+	f := newTestFleet(t, func(*View) {})
+	f.SetState(peer.DaemonState_DAEMON_STATE_LEAVING)
+	f.SetState(peer.DaemonState_DAEMON_STATE_READY)
+	if f.Ready() {
+		t.Error("ready after it was leaving")
+	}
+}
