Do not keep a pause on the list of a request that waits for its prompt parts

What callers would see: 503 for a request that waits for an engine to prefill its shared parts, although another engine is free. Cause: the endpoints that are paused when the request is placed first were added to the endpoints that it avoids, and stayed there while it was held and placed again; if the engine that it waits for leaves, no endpoint is left, although a pause has ended. The list also grew with each try, every 50 ms. Change: the paused endpoints count for one placement only.

--- a/internal/entry/endpointstate_test.go
+++ b/internal/entry/endpointstate_test.go
@@ -199,3 +199,44 @@
 		}
 	}
 }
+
+// TestHeldRequestAfterPause guards against a request that waits for its shared prompt parts and is refused then, because
+// an endpoint whose pause has ended meanwhile still counts as paused for it.
+func TestHeldRequestAfterPause(t *testing.T) {
+	const pause = 500 * time.Millisecond
+	release := make(chan struct{})
+	events := "id: 1\ndata: 1\n\n"
+	pausing := startEndpoint(t, "1", func(n int, w net.Conn, r *http.Request) {
+		if n == 1 {
+			answerWith(w, r, http.StatusServiceUnavailable, "Not-Executed: 1\r\nRetry-After: 0.5\r\n", "")
+			return
+		}
+		answerWith(w, r, http.StatusOK, "", events)
+	})
+	busy := startEndpoint(t, "2", func(_ int, w net.Conn, r *http.Request) {
+		<-release
+		answerWith(w, r, http.StatusOK, leavingLine, events)
+	})
+	s := startSystem(t, unreachedTimeoutMs, pausing)
+	s.call(t, "/model/1", prompt(0, "a")...)
+	paused := time.Now()
+	s.useViewOf(startSystem(t, unreachedTimeoutMs, pausing, busy))
+	statuses := make(chan int, 2)
+	call := func(own string) {
+		statuses <- s.call(t, "/model/1", "Token-Usage", "5010,10", "Prefix-Hash", "a:5000,"+own+":10").status
+	}
+	go call("b")
+	waitFor(t, func() bool { return totalRequests(busy) == 1 })
+	go call("c")
+	waitFor(t, func() bool { return s.counter(`chivewind_entry_waits_total{class="streaming-0-5000ms"}`) == 1 })
+	waitFor(t, func() bool { return time.Since(paused) > pause })
+	close(release)
+	for range 2 {
+		if got := <-statuses; got != http.StatusOK {
+			t.Errorf("status %d", got)
+		}
+	}
+	if n := totalRequests(pausing); n != 2 {
+		t.Errorf("%d requests reached the endpoint that was paused, want 2", n)
+	}
+}
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -153,18 +153,19 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	req.placeReq.Remaining = time.Until(req.deadline)
-	req.placeReq.Avoid = s.placer.AppendPaused(slices.Clip(req.placeReq.Avoid), now, req.pool.Name)
-	choice, refusal := s.placer.Choose(now, req.pool.Name, &req.placeReq)
+	request := req.placeReq
+	request.Remaining = time.Until(req.deadline)
+	request.Avoid = s.placer.AppendPaused(slices.Clip(request.Avoid), now, req.pool.Name)
+	choice, refusal := s.placer.Choose(now, req.pool.Name, &request)
 	if refusal != nil {
 		return choice, nil, &completion{reply: notRun(refusalReason(refusal.Reason), refusal.RetryAfter)}
 	}
 	self, _ := s.fleet.Self()
 	req.placedBy = self.Daemon
 	if choice.WaitForPrefill {
-		return choice, &placedAttempt{ticket: s.placer.Reserve(now, req.pool.Name, &req.placeReq, choice, placement.Local)}, nil
+		return choice, &placedAttempt{ticket: s.placer.Reserve(now, req.pool.Name, &request, choice, placement.Local)}, nil
 	}
-	ticket := s.placer.Start(now, req.pool.Name, &req.placeReq, choice, placement.Local)
+	ticket := s.placer.Start(now, req.pool.Name, &request, choice, placement.Local)
 	s.fleet.RequestReport()
 	return choice, &placedAttempt{ticket: ticket}, nil
 }
