Count simultaneous crashes when a prompt part is certain to crash engines

What callers would see: after a part has crashed five engines at three moments, its requests are sent again 30 s later by all VMs at once, and more engines crash with the streams on them. Cause: the number of crashes from which a part is rejected until they expire counted moments, of which simultaneous crashes make one. That is right for the first suspicion, since engines that fail together have another cause in common, but not once three separate moments have shown the part. Change: from there each crash counts. Ruled out: to count each crash from the start (TestCrashingEnginesRejectNothing). Evidence: TestSeveralCrashesAtOnceAreEvidence failed before (not rejected after 1m0s) and passes; all tests of the package pass.

--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -14,8 +14,8 @@
 	// such as a failed rack, and not one of the requests that they were about to answer.
 	crashMoment = 200 * time.Millisecond
 	// firstBlock is how long requests with a part are rejected after the last of PartCrashLimit crashes. It doubles with
-	// each further crash, so that a part which was suspected wrongly gets another chance soon. From certainCrashes on they
-	// are rejected until the crashes expire.
+	// each further crash, so that a part which was suspected wrongly gets another chance soon. From certainCrashes on,
+	// where those within crashMoment count as well, they are rejected until the crashes expire.
 	firstBlock     = 30 * time.Second
 	certainCrashes = 5
 	// maxPartCrashes is the number of crashes that are kept for a part.
@@ -192,7 +192,7 @@
 		return false
 	}
 	block := Expiry
-	if n < certainCrashes {
+	if len(r.crashes) < certainCrashes {
 		block = firstBlock << (n - PartCrashLimit)
 	}
 	return now.Sub(r.crashes[len(r.crashes)-1].at) < block
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -291,6 +291,18 @@
 	}
 }
 
+// TestSeveralCrashesAtOnceAreEvidence guards against a part that has crashed five engines, some of them together, and is
+// sent again soon because the crashes happened at only three moments.
+func TestSeveralCrashesAtOnceAreEvidence(t *testing.T) {
+	table := NewPartTable(0)
+	last := addCrashes(table, time.Unix(100, 0), PartCrashLimit, 1)
+	table.Add(last, last, CrashID{Endpoint: "a"}, []PartKey{1})
+	table.Add(last, last, CrashID{Endpoint: "b"}, []PartKey{1})
+	if !table.Rejects(last.Add(2*firstBlock), []PartKey{1}) {
+		t.Errorf("%d crashes: not rejected any more after %s", certainCrashes, 2*firstBlock)
+	}
+}
+
 // TestPartTableIsBounded guards against a table that grows with each crash, and against one that forgets rejected parts
 // for others.
 func TestPartTableIsBounded(t *testing.T) {
