Play relays that lose the store one after the other

Change: a test in virtual time at 8, 30 and 60 daemons, twice in a row; the change is confirmed right after the last relay has lost the store.

--- a/internal/fleet/spread_test.go
+++ b/internal/fleet/spread_test.go
@@ -266,3 +266,28 @@
 		}
 	}
 }
+
+// TestSpreadWhileRelaysLoseTheStoreInTurn guards against a change that waits because one relay after the other loses the
+// store without an error, each before the loss of the one before has been noticed.
+func TestSpreadWhileRelaysLoseTheStoreInTurn(t *testing.T) {
+	warmUp(t)
+	for _, n := range []int{8, 30, *simSize} {
+		for _, gap := range []time.Duration{400 * time.Millisecond, 900 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d/%s", n, gap), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := startSim(t, n, 4)
+					defer s.stop()
+					version := 1
+					for range 2 {
+						for _, d := range s.relays() {
+							time.Sleep(gap)
+							d.silenceStore()
+						}
+						version++
+						s.checkChange("the last relay has lost the store", version, 6<<10)
+					}
+				})
+			})
+		}
+	}
+}
