--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -9,8 +9,9 @@
 // matter.
 const newsTTL = 1500 * time.Millisecond
 
-// News holds what a daemon has learned lately, for its reports to the others. A daemon adds what it has found out itself
-// and, if ForwardsNews, what it first learns from a report. The zero value is empty. It is not safe for concurrent use.
+// News holds what a daemon has learned lately, for its reports to the others. A daemon adds what it has found out
+// itself and, if Fleet.ForwardsNews, what it first learns from a report. The zero value is empty. It is not safe for
+// concurrent use.
 type News[T any] struct {
 	items []newsItem[T]
 }
