Compare the stated time of a pause as a number

It compared the text with "4.0", after which "4.00" sorts, although 4 s is allowed; a time of 3.995 s or more is written so. Nothing of the daemon is wrong and load has no part in it. Change: the number is compared with the same bounds, 1 and 4 s, and a value that is no number fails.

--- a/internal/entry/endpointstate_test.go
+++ b/internal/entry/endpointstate_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -173,8 +174,9 @@
 	asked := time.Now()
 	for _, path := range []string{"/once/1", "/safe/1", "/stream/1", "/resume/1"} {
 		got := s.call(t, path)
-		if after := got.header.Get("Retry-After"); got.status != http.StatusServiceUnavailable || after < "1.0" || after > "4.0" || !strings.Contains(got.body, "pause") {
-			t.Errorf("%s: status %d, Retry-After %q, body %q", path, got.status, after, got.body)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		if err != nil || after < 1 || after > 4 || got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "pause") {
+			t.Errorf("%s: status %d, Retry-After %q, body %q", path, got.status, got.header.Get("Retry-After"), got.body)
 		}
 	}
 	if n := totalRequests(pausing); n != 1 {
