Review: show the missed removal with one disruption (case 4)

Claim: after all daemons were killed at once, one that began with a stale listing keeps a removed runner for good (DRAIN).

--- a/review/standins/daemon.go
+++ b/review/standins/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -36,23 +37,29 @@
 	daemons []*daemon
 }
 
-// freePorts returns addresses on the loopback interface that are free for TCP and UDP.
+// freePorts returns addresses on the loopback interface that are free for TCP and UDP. They are below the ports that the
+// kernel gives to outgoing connections, so that none of those takes one before the daemon does.
 func freePorts(n int) ([]string, error) {
+	const lowest, highest, tries = 15000, 30000, 2000
 	var out []string
-	for len(out) < n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+	for range tries {
+		if len(out) == n {
+			return out, nil
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(highest-lowest))
+		l, err := net.Listen("tcp4", address)
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer l.Close()
-		u, err := net.ListenPacket("udp4", l.Addr().String())
+		u, err := net.ListenPacket("udp4", address)
 		if err != nil {
 			continue
 		}
 		defer u.Close()
-		out = append(out, l.Addr().String())
+		out = append(out, address)
 	}
-	return out, nil
+	return nil, errors.New("not enough free ports")
 }
 
 // plan gives addresses to n daemons. Each one reaches the store at the address that storeAddress returns for it.
--- a/review/standins/removal.go
+++ b/review/standins/removal.go
@@ -1,88 +1,82 @@
 package main
 
 import (
-	"fmt"
+	"errors"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// lostRemoval removes the entry of a runner while one daemon is cut off from the store and the other one is down. It then
-// changes the configuration, heals the cut, and sends requests to the first daemon once it is in touch again. The runner
-// serves on for some seconds and exits.
+// lostRemoval removes the entry of a runner and kills all daemons at the same moment half a second later. They start again,
+// and the one that is neither a seed nor a relay begins with a read of the store that is three seconds old. Requests are
+// sent to it once it is in touch. The runner serves on for some seconds and exits.
 func lostRemoval(p *play) (int, error) {
 	const (
-		contact   = 3 * time.Second
-		drain     = 2 * time.Second
-		cutFor    = 4 * time.Second
-		removeAt  = 300 * time.Millisecond
-		restartAt = 800 * time.Millisecond
-		changeAt  = 1600 * time.Millisecond
-		exitAt    = 9 * time.Second
-		callers   = 6
-		work      = 60 * time.Millisecond
+		daemons = 4
+		contact = 3 * time.Second
+		drain   = 2 * time.Second
+		killAt  = 500 * time.Millisecond
+		downFor = 500 * time.Millisecond
+		// later is how much later than the others the judged daemon starts.
+		later    = 500 * time.Millisecond
+		exitAt   = 7 * time.Second
+		callers  = 6
+		work     = 60 * time.Millisecond
+		lastOnes = 500 * time.Millisecond
 	)
 	var err error
 	if p.store, err = newStore(); err != nil {
 		return unplayed, err
 	}
 	var runners []*runner
-	for i := range 3 {
-		r, err := newRunner(p.rec, p.runs, fmt.Sprintf("i-%d", i+1), "desk", work)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		r, err := newRunner(p.rec, p.runs, id, "desk", work)
 		if err != nil {
 			return unplayed, err
 		}
 		runners = append(runners, r)
 	}
 	leaving := runners[1]
-	path, err := newLink(p.store.address())
-	if err != nil {
+	p.fleet.seeds = seedsOfRemoval
+	if err := p.begin(newConfig(800), runners, daemons, nil); err != nil {
 		return unplayed, err
 	}
-	p.fleet.seeds = []int{1}
-	c := newConfig(800)
-	if err := p.begin(c, runners, 2, func(i int) string {
-		if i == 0 {
-			return path.address()
-		}
-		return p.store.address()
-	}); err != nil {
-		return unplayed, err
-	}
-	time.Sleep(6 * time.Second)
-	cut, restarted := p.fleet.daemons[0], p.fleet.daemons[1]
-	start := time.Now()
-	until := func(after time.Duration) { time.Sleep(time.Until(start.Add(after))) }
-	if p.trouble {
-		p.rec.say("%s is cut off from the store", cut.id)
-		path.set(true)
-	}
-	p.rec.say("%s is killed", restarted.id)
-	if err := restarted.signal(syscall.SIGKILL); err != nil {
-		return unplayed, err
-	}
-	<-restarted.exited
-	until(removeAt)
-	p.store.remove("servers/" + leaving.id)
+	time.Sleep(7 * time.Second)
+	judged := p.fleet.daemons[judgedOfRemoval]
 	removedAt := time.Now()
+	at := func(after time.Duration) { time.Sleep(time.Until(removedAt.Add(after))) }
+	p.store.remove("servers/" + leaving.id)
 	p.rec.say("the entry of %s is removed", leaving.id)
-	until(restartAt)
-	if err := p.fleet.start(restarted); err != nil {
-		return unplayed, err
+	restartAt := killAt + downFor
+	if p.trouble {
+		at(killAt)
+		p.rec.say("all daemons are killed")
+		for _, x := range p.fleet.daemons {
+			if err := x.signal(syscall.SIGKILL); err != nil {
+				return unplayed, err
+			}
+			<-x.exited
+		}
+		at(restartAt)
+		for _, x := range p.fleet.daemons {
+			if x == judged {
+				continue
+			}
+			if err := p.fleet.start(x); err != nil {
+				return unplayed, err
+			}
+		}
+		at(restartAt + later)
+		if err := p.fleet.start(judged); err != nil {
+			return unplayed, err
+		}
 	}
-	until(changeAt)
-	c.Version += 2
-	c.Routes[0].TimeoutMs, c.Routes[1].TimeoutMs = 750, 750
-	p.store.put("op/config", c.encode())
-	p.rec.say("version %d of the configuration is confirmed", c.Version)
-	until(cutFor)
-	path.set(false)
-	p.rec.say("the path of %s to the store is whole", cut.id)
-	until(cutFor + contact + 200*time.Millisecond)
-	time.AfterFunc(time.Until(start.Add(exitAt)), func() {
+	time.AfterFunc(time.Until(removedAt.Add(exitAt)), func() {
 		p.rec.say("%s exits", leaving.id)
 		leaving.server.Close()
 	})
+	at(restartAt + later + contact + 300*time.Millisecond)
+	p.rec.say("%s is in touch; requests are sent to it", judged.id)
 	var mu sync.Mutex
 	late, lost, answered := 0, 0, 0
 	var wg sync.WaitGroup
@@ -90,9 +84,9 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			k := newChannel(p.rec, cut.front)
+			k := newChannel(p.rec, judged.front)
 			defer k.close()
-			for time.Since(start) < exitAt+500*time.Millisecond {
+			for time.Since(removedAt) < exitAt+lastOnes {
 				o := k.do("POST", "/book/1", callerKey, []byte("{}"), 800*time.Millisecond)
 				mu.Lock()
 				if o.whole && o.status == 200 {
@@ -112,12 +106,17 @@
 		}()
 	}
 	wg.Wait()
-	p.rec.say("%d requests to %s were answered; %d that were sent later than %s after the removal reached %s, and %d of these were lost when it exited", answered, cut.id, late, drain, leaving.id, lost)
+	p.rec.say("%d requests to %s were answered; %d that were sent later than %s after the removal reached %s, and %d of these were lost when it exited", answered, judged.id, late, drain, leaving.id, lost)
 	if late > 0 {
 		return broken, nil
 	}
 	if answered == 0 {
-		return unplayed, fmt.Errorf("no request was answered")
+		return unplayed, errors.New("no request was answered")
 	}
 	return held, nil
 }
+
+// seedsOfRemoval are the seeds, and judgedOfRemoval is the daemon that is no seed and, of four with these names, no relay.
+var seedsOfRemoval = []int{0, 1, 3}
+
+const judgedOfRemoval = 2
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// firstRevision is the revision of the empty store.
+const firstRevision = 100
+
 // historyAge is how long the store keeps events for watches (history_s of the settings).
 const historyAge = 20 * time.Second
 
@@ -34,6 +37,8 @@
 	revision int64
 	items    map[string]item
 	events   []item
+	// log holds all changes since the start, for reads that may be stale.
+	log []item
 	// compacted is the newest revision whose events have been dropped.
 	compacted int64
 	leases    map[int64]bool
@@ -50,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{listener: l, revision: 100, items: map[string]item{}, leases: map[int64]bool{}, changed: make(chan struct{}), delay: answerDelay}
+	s := &store{listener: l, revision: firstRevision, items: map[string]item{}, leases: map[int64]bool{}, changed: make(chan struct{}), delay: answerDelay}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /chivewind/kv-key", s.serveKey)
 	mux.HandleFunc("GET /chivewind/kv-range", s.serveRange)
@@ -114,12 +119,33 @@
 	}
 	it := item{Key: key, Value: value, Revision: s.revision, Created: created, Lease: lease, at: time.Now()}
 	s.items[key] = it
-	s.events = append(s.events, it)
+	s.events, s.log = append(s.events, it), append(s.log, it)
 }
 
 func (s *store) drop(key string) {
 	delete(s.items, key)
-	s.events = append(s.events, item{Key: key, Revision: s.revision, Tombstone: true, at: time.Now()})
+	it := item{Key: key, Revision: s.revision, Tombstone: true, at: time.Now()}
+	s.events, s.log = append(s.events, it), append(s.log, it)
+}
+
+// staleness is how old a read is that may be stale: the page says seconds.
+const staleness = 3 * time.Second
+
+// itemsAsOf returns the keys and the revision of the store at a time.
+func (s *store) itemsAsOf(at time.Time) (map[string]item, int64) {
+	items, revision := map[string]item{}, int64(firstRevision)
+	for _, it := range s.log {
+		if it.at.After(at) {
+			break
+		}
+		revision = it.Revision
+		if it.Tombstone {
+			delete(items, it.Key)
+		} else {
+			items[it.Key] = it
+		}
+	}
+	return items, revision
 }
 
 func (s *store) notify() {
@@ -160,8 +186,12 @@
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	items, asOf := s.items, s.revision
+	if r.URL.Query().Get("allow_stale") == "1" {
+		items, asOf = s.itemsAsOf(time.Now().Add(-staleness))
+	}
 	found := []item{}
-	for key, it := range s.items {
+	for key, it := range items {
 		if strings.HasPrefix(key, prefix) && key > after {
 			found = append(found, it)
 		}
@@ -172,7 +202,7 @@
 		size += len(found[n].Value)
 		n++
 	}
-	reply(w, map[string]any{"items": found[:n], "has_more": n < len(found), "as_of": s.revision})
+	reply(w, map[string]any{"items": found[:n], "has_more": n < len(found), "as_of": asOf})
 }
 
 func (s *store) serveWatch(w http.ResponseWriter, r *http.Request) {
