--- a/review/standins/early.go
+++ b/review/standins/early.go
@@ -18,10 +18,12 @@
 	// earlyPieces is the number of pieces of an answer of an early runner, and earlyPiece one of them.
 	earlyPieces = 40
 	earlyPause  = 50 * time.Millisecond
-	// earlyWindow is the receive buffer of a channel: windows are small.
-	earlyWindow = 64 << 10
+	// earlyWindow is the receive buffer of a channel, and earlySegment its largest segment, as on Ethernet. On the loopback
+	// interface the kernel would otherwise take megabytes from a writer whose peer does not read.
+	earlyWindow  = 16 << 10
+	earlySegment = 1460
 	// earlyRate is how many bytes of a body the runner reads between two pieces.
-	earlyRate = 64 << 10
+	earlyRate = 8 << 10
 )
 
 // earlyPiece returns a piece of the answer to a request.
@@ -50,7 +52,10 @@
 	listen := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		var err error
 		return errors.Join(c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, earlyWindow)
+			err = errors.Join(
+				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, earlyWindow),
+				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, earlySegment),
+			)
 		}), err)
 	}}
 	l, err := listen.Listen(context.Background(), "tcp4", "127.0.0.1:0")
