Keep SIGHUP from ending a daemon that is stopping

Cause: the goroutine that reloads the settings ended with the context that SIGTERM cancels, and its deferred signal.Stop gave SIGHUP its default action back, which ends the process. The graceful stop takes at least 2.5 s from there on. Evidence: the wait status "signal: hangup", and a log without "stopped".

Change: daemons handle SIGHUP from their first step to their exit, and reload during the graceful stop as well. The same cause on related paths: serve never handled SIGHUP, and SIGPIPE ended a daemon whose log reader had exited.

--- a/cli/entry.go
+++ b/cli/entry.go
@@ -3,8 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
+	"sync"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/hashicorp/go-hclog"
@@ -22,6 +21,7 @@
 
 // entry runs an entry daemon until a signal ends a.ctx.
 func (a *app) entry(file string) error {
+	reload := surviveSignals()
 	s, err := settings.ReadEntryFile(file)
 	if err != nil {
 		return err
@@ -36,24 +36,24 @@
 		log.Error("daemon failed to start", "error", err)
 		return err
 	}
-	ctx, stop := context.WithCancel(a.ctx)
+	// The watch outlives a.ctx, so that reloads still work during the graceful stop, and ends before out is closed.
+	work, stop := context.WithCancel(context.WithoutCancel(a.ctx))
+	var watch sync.WaitGroup
+	watch.Go(func() { watchSettings(work, reload, file, s, log) })
+	defer watch.Wait()
 	defer stop()
-	go watchSettings(ctx, file, s, log)
-	return n.Run(ctx)
+	return n.Run(a.ctx)
 }
 
-// watchSettings reads the settings file again at each SIGHUP. It rejects invalid settings and those
+// watchSettings reads the settings file again at each reload request, until ctx ends. It rejects invalid settings and those
 // that fail Entry.CheckReload, and logs why. Otherwise it sets the log level. It ignores changes of other
 // settings, which take effect at the next start, and does not log them.
-func watchSettings(ctx context.Context, file string, current *settings.Entry, log hclog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func watchSettings(ctx context.Context, reload <-chan os.Signal, file string, current *settings.Entry, log hclog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-reload:
 		}
 		next, err := settings.ReadEntryFile(file)
 		if err == nil {
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -22,14 +22,21 @@
 }
 
 func (a *app) serve(file string) error {
+	reload := surviveSignals()
 	s, err := settings.ReadFile(file)
 	if err != nil {
 		return err
 	}
-	n, err := node.New(s, newLogger(s, a.stderr))
+	log := newLogger(s, a.stderr)
+	n, err := node.New(s, log)
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range reload {
+			log.Warn("reload ignored, the settings are read only at the start")
+		}
+	}()
 	force, stop := secondSignal(a.ctx)
 	defer stop()
 	return n.Run(a.ctx, force)
--- a/test/integration/fault_stop_test.go
+++ b/test/integration/fault_stop_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,7 +20,7 @@
 const stopTimeout = 40 * time.Second
 
 // TestFaultGracefulStop guards against graceful shutdowns that interrupt requests: one daemon, then two concurrently,
-// under load. Every request must complete.
+// under load, also if a daemon is told to reload its settings before and during its shutdown. Every request must complete.
 func TestFaultGracefulStop(t *testing.T) {
 	t.Parallel()
 	s := newSystem(t, options{daemons: 4, engines: 2, plains: 1})
@@ -30,6 +31,9 @@
 		defer close(listingChecked)
 		s.requireNotListed(s.daemons[0])
 	}()
+	s.daemons[0].signal(syscall.SIGHUP)
+	reload := time.AfterFunc(time.Second, func() { s.daemons[0].signal(syscall.SIGHUP) })
+	defer reload.Stop()
 	s.daemons[0].terminate(stopTimeout)
 	<-listingChecked
 	var both sync.WaitGroup
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -58,7 +58,7 @@
 // TestSoak checks the guarantees to callers and endpoints when several faults overlap. It guards against a
 // non-idempotent request that runs twice, a request that is reported as not run but did run, a response to a
 // different request, a truncated response that looks complete, a request to an endpoint that is leaving or wants a
-// pause, a configuration that never takes effect, and a system that does not recover.
+// pause, a configuration that never takes effect, a daemon that ends by itself, and a system that does not recover.
 func TestSoak(t *testing.T) {
 	run := append([]uint64(nil), regressionSeeds...)
 	for i := range *seeds {
@@ -86,7 +86,7 @@
 	for time.Now().Before(end) {
 		d := s.daemons[random.IntN(len(s.daemons))]
 		duration := time.Duration(200+random.IntN(1500)) * time.Millisecond
-		switch random.IntN(12) {
+		switch random.IntN(13) {
 		case 0:
 			s.recordFault("kill", d.name)
 			d.restart(syscall.SIGKILL)
@@ -129,6 +129,10 @@
 			for _, e := range s.endpoints {
 				e.pauseFor(duration)
 			}
+		case 12:
+			s.recordFault("reload during a stop", d.name)
+			d.reloadLater(duration)
+			d.restart(syscall.SIGTERM)
 		}
 		<-time.After(time.Duration(50+random.IntN(400)) * time.Millisecond)
 	}
--- a/test/soak/stop_test.go
+++ b/test/soak/stop_test.go
@@ -133,16 +133,19 @@
 
 // TestTroublePlannedStop guards against requests that a planned stop under load cuts off without an answer: those that
 // were just accepted, whose body is still on its way, on kept connections, and streams; also while the store does not
-// serve the VM that stops, and when the stop is requested twice.
+// serve the VM that stops, and when another signal arrives during the stop: a second request to stop, or a reload of the
+// settings, whose default action ends the process.
 func TestTroublePlannedStop(t *testing.T) {
 	for _, c := range []struct {
-		desc  string
-		fault faultproxy.Fault
-		terms int
+		desc    string
+		fault   faultproxy.Fault
+		signals []syscall.Signal
 	}{
-		{"under load", faultproxy.Fault{}, 1},
-		{"turned away by the store", faultproxy.Fault{Cut: true}, 1},
-		{"stopped twice", faultproxy.Fault{}, 2},
+		{"under load", faultproxy.Fault{}, []syscall.Signal{syscall.SIGTERM}},
+		{"turned away by the store", faultproxy.Fault{Cut: true}, []syscall.Signal{syscall.SIGTERM}},
+		{"stopped twice", faultproxy.Fault{}, []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM}},
+		{"interrupted", faultproxy.Fault{}, []syscall.Signal{syscall.SIGTERM, syscall.SIGINT}},
+		{"reloaded", faultproxy.Fault{}, []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP}},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			t.Parallel()
@@ -151,7 +154,7 @@
 				s.waitForVersion(t, 1)
 				d := s.daemons[0]
 				d.proxy.SetFault(c.fault)
-				seen, err := s.stopUnderLoad(d, c.terms)
+				seen, err := s.stopUnderLoad(d, c.signals)
 				if err != nil {
 					t.Error(err)
 				}
@@ -165,8 +168,9 @@
 	}
 }
 
-// stopUnderLoad stops a daemon while callers use it, and returns what these saw.
-func (s *system) stopUnderLoad(d *daemon, terms int) (seen []exchange, err error) {
+// stopUnderLoad sends the signals to a daemon, of which the first one stops it, while callers use it, and returns what
+// these saw.
+func (s *system) stopUnderLoad(d *daemon, signals []syscall.Signal) (seen []exchange, err error) {
 	var mu sync.Mutex
 	var callers sync.WaitGroup
 	record := func(x exchange) {
@@ -185,8 +189,8 @@
 	d.stopping = true
 	d.mu.Unlock()
 	start := time.Now()
-	for range terms {
-		_ = cmd.Process.Signal(syscall.SIGTERM)
+	for _, signal := range signals {
+		_ = cmd.Process.Signal(signal)
 		<-time.After(100 * time.Millisecond)
 	}
 	select {
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -25,6 +25,8 @@
 	// recoveryTimeout is the maximum time until the system serves requests again after the last fault. The platform
 	// documentation allows 12 s; the rest is for a heavily loaded machine.
 	recoveryTimeout = 30 * time.Second
+	// signalSetupTime is the time after its start within which a daemon must handle signals, on a heavily loaded machine.
+	signalSetupTime = time.Second
 )
 
 // system contains the daemons under test, their store, endpoints and callers, and what these observed.
@@ -232,14 +234,20 @@
 	}
 	cmd := exec.Command(binary, "entry", "-c", d.file)
 	cmd.Stdout, cmd.Stderr = out, out
+	started := time.Now()
 	if err := cmd.Start(); err != nil {
 		d.t.Error(err)
 		return
 	}
 	exited := make(chan struct{})
 	go func() {
-		_ = cmd.Wait() // a killed process ends with an error
+		_ = cmd.Wait()
 		_ = out.Close()
+		// The tests end a daemon with SIGKILL or by a graceful stop. Signals end a process that does not handle them yet.
+		status := cmd.ProcessState.Sys().(syscall.WaitStatus)
+		if time.Since(started) > signalSetupTime && status.Signal() != syscall.SIGKILL && status.ExitStatus() != 0 {
+			d.t.Errorf("%s ended by itself: %s", d.name, cmd.ProcessState)
+		}
 		close(exited)
 	}()
 	d.cmd, d.exited = cmd, exited
@@ -287,6 +295,12 @@
 	}()
 }
 
+// reloadLater signals the current process, after the given time, to read its settings again.
+func (d *daemon) reloadLater(delay time.Duration) {
+	cmd, _ := d.process()
+	time.AfterFunc(delay, func() { _ = cmd.Process.Signal(syscall.SIGHUP) })
+}
+
 func (d *daemon) pause(duration time.Duration) {
 	cmd, _ := d.process()
 	d.epoch.Add(1)
