Take a reset for the end of an answer in no case

Cause: a socket reports a reset to one call only. While the request is still being written, the write may get it; the read then returns the end of the stream, which ends an answer without a length. Evidence: with a reader and a writer waiting on one connection that is reset, the write fails with "connection reset by peer" and the read returns the end of the stream.

Change: the end of the stream counts as the end of an answer only if no write on the connection has failed. A write in progress is ended first, and its result tells whether it has got a reset. This sits below all ways to read a body, so it holds for streams and for answers over the buffer as well.

--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -222,10 +222,15 @@
 
 // call sends a POST request to the system and returns the response. header contains alternating names and values.
 func (s *system) call(t *testing.T, path string, header ...string) reply {
+	t.Helper()
+	return s.callWithBody(t, path, "body", header...)
+}
+
+func (s *system) callWithBody(t *testing.T, path, body string, header ...string) reply {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.httpServer.URL+path, strings.NewReader("body"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.httpServer.URL+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -241,8 +246,8 @@
 		return reply{cut: true}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, body: string(body), header: resp.Header, cut: err != nil}
+	answer, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, body: string(answer), header: resp.Header, cut: err != nil}
 }
 
 // unreachedTimeoutMs is a route timeout that no test reaches.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,11 +50,45 @@
 	idleTimeout time.Duration
 	usableUntil time.Time
 	closeOnce   sync.Once
+
+	// writing is held during a write and guards writeErr, the error of the last write that failed.
+	writing  sync.Mutex
+	writeErr error
 }
 
 func newConn(raw net.Conn) *conn {
-	source := &limitedReader{source: raw}
-	return &conn{raw: raw, source: source, reader: bufio.NewReaderSize(source, readBufferSize), idleTimeout: defaultIdleTimeout}
+	c := &conn{raw: raw, idleTimeout: defaultIdleTimeout}
+	c.source = &limitedReader{source: resetReader{c}}
+	c.reader = bufio.NewReaderSize(c.source, readBufferSize)
+	return c
+}
+
+// resetReader reads from the socket of a connection and returns io.EOF only if the endpoint ended the connection in
+// order. A socket reports a reset to a single call: if that was a write, reads return io.EOF.
+type resetReader struct{ c *conn }
+
+// Read implements io.Reader.
+func (r resetReader) Read(p []byte) (int, error) {
+	n, err := r.c.raw.Read(p)
+	if err == io.EOF {
+		if writeErr := r.c.abortWrite(); writeErr != nil {
+			err = fmt.Errorf("connection broken while the request was written: %w", writeErr)
+		}
+	}
+	return n, err
+}
+
+// abortWrite ends a write in progress and returns the error of the last write that had failed before.
+func (c *conn) abortWrite() error {
+	// A write that has got an error from the socket returns it; one that still waits for room returns
+	// os.ErrDeadlineExceeded.
+	_ = c.raw.SetWriteDeadline(time.Unix(0, 1))
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if errors.Is(c.writeErr, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return c.writeErr
 }
 
 // limitedReader reads from source, and fails while it is limited once remaining bytes have been read.
@@ -156,7 +191,12 @@
 }
 
 func (c *conn) write(message []byte) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.raw.Write(message)
+	if err != nil {
+		c.writeErr = err
+	}
 	if err != nil && n == 0 {
 		return errors.Join(errUnsent, err)
 	}
