Tell daemons of removals that left no record

Cause: a copy of the store stated that it is complete up to the revision of its newest remaining key. A listing before the removal and one after it stated the same, so that nobody was behind; and a daemon that began with a listing has no record of earlier removals, so that a peer that pulled from it got none and took over its revision. Evidence: TestRestartAfterRemoval, in which every daemon that begins with a stale listing and does not watch keeps the endpoint.

Change: the revision of a listing is stated as such. A daemon that may lack the record of a removal after the peer's revision sends all keys as a listing instead of changes. A digest of the keys in reports and calls confirms equal copies, so that differences by other keys cause no pulls. A late change of an endpoint that the state has no record of, older than its revision, is ignored.

TestStateListing demanded the revision of the newest key, which was the fault. It demands that of the listing now.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -172,16 +172,22 @@
 	return nil
 }
 
-// readAll reads all keys. The pages are not one snapshot; all changes up to the returned revision are in them.
+// readAll reads all keys. The pages are not one snapshot; all changes up to the returned revision are in them. For a
+// stale listing, that revision is taken from the newest key of each page, because a store may state its current
+// revision with a stale page.
 func (f *Fleet) readAll(ctx context.Context, stale bool) (all []platform.KeyValue, revision int64, err error) {
 	request := platform.RangeRequest{Prefix: true, Stale: stale}
-	for {
+	for first := true; ; first = false {
 		page, err := f.opts.KV.Range(ctx, request)
 		if err != nil {
 			return nil, 0, err
 		}
-		if revision == 0 || page.Revision < revision {
-			revision = page.Revision
+		pageRevision := page.Revision
+		if stale {
+			pageRevision = min(pageRevision, newestRevision(page.KVs))
+		}
+		if first || pageRevision < revision {
+			revision = pageRevision
 		}
 		all = append(all, page.KVs...)
 		if !page.More || len(page.KVs) == 0 {
@@ -191,6 +197,15 @@
 	}
 }
 
+// newestRevision returns the revision of the newest change of the keys, or 0 if there are none.
+func newestRevision(keys []platform.KeyValue) int64 {
+	newest := int64(0)
+	for _, kv := range keys {
+		newest = max(newest, kv.ModRevision)
+	}
+	return newest
+}
+
 func (f *Fleet) applyListing(all []platform.KeyValue, revision int64) {
 	f.updateDaemons(all)
 	f.mu.Lock()
--- a/internal/fleet/pull.go
+++ b/internal/fleet/pull.go
@@ -53,14 +53,8 @@
 func (f *Fleet) pullWith(ctx context.Context, from *peer.Identity, roster bool) bool {
 	f.mu.Lock()
 	timeout := f.pullTimeout
-	request := &peer.SyncRequest{
-		From: f.opts.Self.Daemon, Members: []*peer.Member{memberFromIdentity(f.opts.Self)}, WantRoster: roster, MemberDigests: slices.Clone(f.members.digests[:]),
-		Versions: []*peer.DocumentVersion{
-			{Name: stateDocument, Version: uint64(f.state.Revision())},
-			{Name: f.opts.Codec.TableKey, Version: uint64(f.state.TableRevision())},
-		},
-	}
 	f.mu.Unlock()
+	request := f.syncRequest(roster)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := f.callSync(ctx, from, request)
@@ -80,6 +74,20 @@
 	return true
 }
 
+// syncRequest returns the request for what a peer knows and this daemon does not.
+func (f *Fleet) syncRequest(roster bool) *peer.SyncRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &peer.SyncRequest{
+		From: f.opts.Self.Daemon, Members: []*peer.Member{memberFromIdentity(f.opts.Self)}, WantRoster: roster,
+		MemberDigests: slices.Clone(f.members.digests[:]), StateDigest: f.state.Digest(),
+		Versions: []*peer.DocumentVersion{
+			{Name: stateDocument, Version: uint64(f.state.Revision())},
+			{Name: f.opts.Codec.TableKey, Version: uint64(f.state.TableRevision())},
+		},
+	}
+}
+
 // callSync sends a Sync call to a peer. Its error states why there is no usable reply.
 func (f *Fleet) callSync(ctx context.Context, to *peer.Identity, request *peer.SyncRequest) (*peer.SyncReply, error) {
 	client, err := f.opts.Peers.Client(ctx, &peer.Member{Id: to.Daemon, PeerAddress: to.ControlAddress})
@@ -108,40 +116,32 @@
 		f.members.ReplaceRoster(now, from.Daemon, reply.Roster)
 	}
 	f.mu.Unlock()
-	f.updateState(func(now time.Time, s *State) bool {
-		changed, complete := applyDocuments(now, s, reply.Documents)
-		for _, v := range reply.Versions {
-			if v.Name == stateDocument && complete {
-				s.Advance(int64(v.Version))
-			}
+	state := &PeerState{
+		Digest: reply.StateDigest, Entries: entriesFromDocuments(reply.Documents), EntriesSince: reply.DocumentsSince,
+		Listing: reply.Listing, RemovalsSince: reply.RemovalsSince,
+	}
+	for _, v := range reply.Versions {
+		if v.Name == stateDocument {
+			state.Revision = int64(v.Version)
 		}
-		return changed
-	})
-}
-
-// applyDocuments applies entries received from another daemon. It reports whether the state changed and whether all
-// entries could be used.
-func applyDocuments(now time.Time, s *State, documents []*peer.Document) (changed, complete bool) {
-	complete = true
-	for _, d := range documents {
-		entryChanged, usable := s.ApplyEntry(now, entryFromDocument(d))
-		changed = changed || entryChanged
-		complete = complete && usable
 	}
-	return changed, complete
+	f.updateState(func(now time.Time, s *State) bool { return s.ApplyPeerState(now, state) })
 }
 
-// entryFromDocument converts a peer.Document into the Entry that it encodes. Empty content means that the key was
+// entriesFromDocuments converts documents into the entries that they encode. Empty content means that the key was
 // removed.
-func entryFromDocument(d *peer.Document) Entry {
-	e := Entry{Key: d.Name, Revision: int64(d.Version), Value: d.Content, Base: int64(d.BaseVersion)}
-	if len(e.Value) == 0 {
-		e.Value = nil
+func entriesFromDocuments(documents []*peer.Document) []Entry {
+	entries := make([]Entry, len(documents))
+	for i, d := range documents {
+		entries[i] = Entry{Key: d.Name, Revision: int64(d.Version), Value: d.Content, Base: int64(d.BaseVersion)}
+		if len(d.Content) == 0 {
+			entries[i].Value = nil
+		}
 	}
-	return e
+	return entries
 }
 
-// documentsFromEntries is the inverse of entryFromDocument.
+// documentsFromEntries is the inverse of entriesFromDocuments.
 func documentsFromEntries(entries []Entry) []*peer.Document {
 	documents := make([]*peer.Document, len(entries))
 	for i, e := range entries {
@@ -169,8 +169,8 @@
 // stateDocument is the document name under which a Sync call carries the revision of the whole state.
 const stateDocument = "state"
 
-// Sync implements the Sync call of the peer service: it returns the entries that are newer than the caller's state, and
-// the members that the caller may not know. Empty content means that the key was removed.
+// Sync implements the Sync call of the peer service: it returns the entries that the caller's state lacks, and the members
+// that the caller may not know. Empty content means that the key was removed.
 func (f *Fleet) Sync(_ context.Context, r *peer.SyncRequest) (*peer.SyncReply, error) {
 	f.mu.Lock()
 	now := time.Now()
@@ -197,9 +197,11 @@
 			tableRevision = int64(v.Version)
 		}
 	}
+	state := f.state.StateFor(since, tableRevision, r.StateDigest)
 	reply := &peer.SyncReply{
-		Versions:  []*peer.DocumentVersion{{Name: stateDocument, Version: uint64(f.state.Revision())}},
-		Documents: documentsFromEntries(f.state.Since(since, tableRevision)),
+		Versions:  []*peer.DocumentVersion{{Name: stateDocument, Version: uint64(state.Revision)}},
+		Documents: documentsFromEntries(state.Entries), DocumentsSince: state.EntriesSince,
+		Listing: state.Listing, RemovalsSince: state.RemovalsSince, StateDigest: state.Digest,
 	}
 	if r.WantRoster {
 		reply.Roster = f.members.OwnRoster()
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -122,10 +122,11 @@
 	}
 }
 
-// recentChange holds the entries that changed after the revision since, in the form in which reports include them until
-// the given time.
+// recentChange holds the entries that changed after the revision since, up to the revision to, in the form in which
+// reports include them until the given time.
 type recentChange struct {
 	since   int64
+	to      int64
 	entries []*peer.Document
 	until   time.Time
 }
@@ -177,7 +178,7 @@
 // the revision of the routing table then. f.mu must be held.
 func (f *Fleet) addRecentChange(now time.Time, since, tableRevision int64) {
 	f.recentChanges = append(f.recentChanges, recentChange{
-		since: since, entries: documentsFromEntries(f.state.Since(since, tableRevision)), until: now.Add(recentChangeTTL),
+		since: since, to: f.state.Revision(), entries: documentsFromEntries(f.state.Since(since, tableRevision)), until: now.Add(recentChangeTTL),
 	})
 }
 
@@ -188,6 +189,9 @@
 	size := 0
 	first := len(f.recentChanges)
 	for first > 0 {
+		if first < len(f.recentChanges) && f.recentChanges[first-1].to != since {
+			break // changes between the two are missing
+		}
 		for _, e := range f.recentChanges[first-1].entries {
 			size += len(e.Name) + len(e.Content)
 		}
@@ -200,6 +204,9 @@
 	for _, c := range f.recentChanges[first:] {
 		entries = append(entries, c.entries...)
 	}
+	if since > 0 {
+		since = max(since, f.state.RemovalsSince())
+	}
 	return entries, since
 }
 
@@ -212,7 +219,7 @@
 	f.reportSequence++
 	r := &peer.Report{
 		Daemon: f.opts.Self.Daemon, Incarnation: f.incarnation, Sequence: f.reportSequence, State: f.selfState, Revision: f.state.Revision(),
-		StoreAgeMs: unknownAgeMs,
+		StateDigest: f.state.Digest(), StoreAgeMs: unknownAgeMs,
 	}
 	if f.members.ForwardsChanges(now, watcherMaxAge) {
 		r.Entries, r.EntriesSince = f.recentEntries(now)
@@ -363,19 +370,19 @@
 }
 
 // handleReport applies the entries of a report, also if RecordReport then rejects the report as old or because its
-// sender is not known: each entry has its own revision, State.Apply ignores those that are not newer, and State.Advance
-// never lowers the revision of the state.
+// sender is not known: each entry has its own revision, State.Apply ignores those that are not newer, and
+// State.ApplyPeerState never lowers the revision of the state.
 func (f *Fleet) handleReport(r *peer.Report) {
 	receivedAt := time.Now()
-	if len(r.Entries) > 0 {
-		f.updateState(func(now time.Time, s *State) bool {
-			changed, complete := applyDocuments(now, s, r.Entries)
-			if complete && r.EntriesSince > 0 && s.Revision() >= r.EntriesSince {
-				// The entries are all changes between EntriesSince and the sender's revision.
-				s.Advance(r.Revision)
-			}
-			return changed
-		})
+	f.mu.Lock()
+	newer := r.Revision > f.state.Revision()
+	f.mu.Unlock()
+	if len(r.Entries) > 0 || newer {
+		state := &PeerState{Revision: r.Revision, Digest: r.StateDigest, Entries: entriesFromDocuments(r.Entries), EntriesSince: r.EntriesSince}
+		if r.EntriesSince == 0 {
+			state.EntriesSince = r.Revision // the entries are not complete
+		}
+		f.updateState(func(now time.Time, s *State) bool { return s.ApplyPeerState(now, state) })
 	}
 	f.mu.Lock()
 	member := f.members.RecordReport(receivedAt, r)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -7,9 +7,12 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chivewind/chivewind/platform"
 	"github.com/chivewind/chivewind/traffic"
 )
@@ -57,6 +60,11 @@
 	table   *traffic.Table
 	// revision is the revision of the store up to which the state is complete. Single keys may be newer.
 	revision int64
+	// removalsSince is the revision after which the state has a record of each removal up to revision. A state that
+	// begins with a listing has none of those before.
+	removalsSince int64
+	// digest is the XOR of the digests of the keys that are present.
+	digest uint64
 	// tableChanges are the latest changes of the routing table, oldest first and without gaps.
 	tableChanges []tableChange
 	// recoveryGraceUntil is gracePeriod after the end of the last outage of the store. Ready endpoints whose removal
@@ -95,15 +103,52 @@
 // Revision returns the revision up to which the state is complete.
 func (s *State) Revision() int64 { return s.revision }
 
-// Advance records that all changes up to revision have been applied.
+// Digest returns a digest of the keys that are present and their revisions. It is 0 if there are none.
+func (s *State) Digest() uint64 { return s.digest }
+
+// RemovalsSince returns the revision after which the state has a record of each removal.
+func (s *State) RemovalsSince() int64 { return s.removalsSince }
+
+// Advance records that all changes up to revision have been applied, each removal included.
 func (s *State) Advance(revision int64) { s.revision = max(s.revision, revision) }
 
+// advanceWithoutRemovals records that the state is complete up to revision and has a record of each removal after
+// removalsSince only.
+func (s *State) advanceWithoutRemovals(revision, removalsSince int64) {
+	if revision > s.revision {
+		s.revision, s.removalsSince = revision, max(s.removalsSince, removalsSince)
+	}
+}
+
+// ConfirmDigest records that a state with the given digest is complete up to revision. If this one holds the same keys,
+// so is it.
+func (s *State) ConfirmDigest(revision int64, digest uint64) {
+	if digest != 0 && digest == s.digest {
+		s.advanceWithoutRemovals(revision, revision)
+	}
+}
+
+// setRecord replaces the record of a key.
+func (s *State) setRecord(key string, r *record) {
+	s.digest ^= recordDigest(key, s.records[key]) ^ recordDigest(key, r)
+	s.records[key] = r
+}
+
+// recordDigest returns the digest of a key, or 0 if it is not present.
+func recordDigest(key string, r *record) uint64 {
+	if r == nil || len(r.value) == 0 {
+		return 0
+	}
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(key), uint64(r.revision)))
+}
+
 // StoreRecovered starts the grace period after an outage of the store during which leases of endpoints may have
 // expired.
 func (s *State) StoreRecovered(now time.Time) { s.recoveryGraceUntil = now.Add(s.gracePeriod) }
 
 // Apply records the state of a key at a revision and reports whether the state changed. A nil value means that the
-// key was removed. Revisions that are not newer than the recorded one are ignored.
+// key was removed. Revisions that are not newer than the recorded one are ignored. So is a change of an endpoint that
+// has no record although the state is complete up to the change: the endpoint has been removed since.
 func (s *State) Apply(now time.Time, key string, revision int64, value []byte) bool {
 	old := s.records[key]
 	if !s.relevant(key) || (old != nil && revision <= old.revision) {
@@ -112,6 +157,9 @@
 	if key == s.codec.TableKey {
 		return s.applyTable(revision, value)
 	}
+	if old == nil && revision <= s.revision {
+		return false
+	}
 	s.applyEndpoint(now, key, revision, value, old)
 	return true
 }
@@ -130,7 +178,7 @@
 		s.onRejected(s.codec.TableKey, err)
 		return false
 	}
-	s.records[s.codec.TableKey] = &record{revision: revision, value: value}
+	s.setRecord(s.codec.TableKey, &record{revision: revision, value: value})
 	s.table = table
 	return true
 }
@@ -142,7 +190,7 @@
 		if old != nil && old.endpoint != nil && old.endpoint.State == traffic.EndpointReady && now.Before(s.recoveryGraceUntil) {
 			r.endpoint, r.inGrace = old.endpoint, true
 		}
-		s.records[key] = r
+		s.setRecord(key, r)
 		return
 	}
 	e, err := s.codec.DecodeEndpoint(strings.TrimPrefix(key, s.codec.EndpointPrefix), value)
@@ -151,43 +199,95 @@
 	} else {
 		r.endpoint = &e
 	}
-	s.records[key] = r
+	s.setRecord(key, r)
 }
 
 // ApplyListing applies a complete listing of the store as of listRevision and reports whether the state changed.
 // Endpoints that are not in the listing and have not changed since listRevision are treated as removed.
 func (s *State) ApplyListing(now time.Time, listRevision int64, listed []platform.KeyValue) bool {
 	changed := false
-	newest := int64(0)
 	present := make(map[string]bool, len(listed))
 	for _, kv := range listed {
 		present[kv.Key] = true
-		if s.relevant(kv.Key) {
-			newest = max(newest, kv.ModRevision)
-		}
 		value := kv.Value
 		if value == nil {
 			value = []byte{}
 		}
 		changed = s.Apply(now, kv.Key, kv.ModRevision, value) || changed
 	}
+	changed = s.removeAbsent(now, listRevision, present) || changed
+	s.advanceWithoutRemovals(listRevision, listRevision)
+	return changed
+}
+
+// removeAbsent applies the removal of all endpoints that are not present at a revision and have not changed since. It
+// reports whether there are any.
+func (s *State) removeAbsent(now time.Time, revision int64, present map[string]bool) bool {
+	changed := false
 	for key, r := range s.records {
-		if r.value != nil && !present[key] && r.revision <= listRevision && key != s.codec.TableKey {
-			newest = max(newest, listRevision)
-			changed = s.Apply(now, key, max(listRevision, r.revision+1), nil) || changed
+		if r.value != nil && !present[key] && r.revision <= revision && key != s.codec.TableKey {
+			changed = s.Apply(now, key, max(revision, r.revision+1), nil) || changed
 		}
 	}
-	// The revision is that of the newest change of a relevant key, but at most listRevision, which is the revision of
-	// the first page: a key on an early page may have changed before a later page was read.
-	s.Advance(min(newest, listRevision))
 	return changed
 }
 
-// ExpireTombstones discards removals that are older than tombstoneRetention.
+// PeerState is what a daemon sends of its state.
+type PeerState struct {
+	// Revision and Digest are those of the whole state.
+	Revision int64
+	Digest   uint64
+	// Entries are all changes after EntriesSince. If Listing is set, they are all keys, and all removals after
+	// RemovalsSince.
+	Entries       []Entry
+	EntriesSince  int64
+	Listing       bool
+	RemovalsSince int64
+}
+
+// ApplyPeerState applies the state of another daemon, and reports whether this one changed.
+func (s *State) ApplyPeerState(now time.Time, p *PeerState) bool {
+	changed, complete := false, true
+	present := make(map[string]bool, len(p.Entries))
+	for _, e := range p.Entries {
+		present[e.Key] = true
+		entryChanged, usable := s.ApplyEntry(now, e)
+		changed, complete = changed || entryChanged, complete && usable
+	}
+	switch {
+	case !complete:
+	case p.Listing:
+		changed = s.removeAbsent(now, p.Revision, present) || changed
+		s.advanceWithoutRemovals(p.Revision, p.RemovalsSince)
+	case s.revision >= p.EntriesSince:
+		s.Advance(p.Revision)
+	default:
+		s.ConfirmDigest(p.Revision, p.Digest)
+	}
+	return changed
+}
+
+// StateFor returns what a daemon needs whose state has the given revision and digest: the changes after it, or all keys if
+// removals since then have left no record here. tableRevision is the revision of its routing table.
+func (s *State) StateFor(revision, tableRevision int64, digest uint64) *PeerState {
+	p := &PeerState{Revision: s.revision, Digest: s.digest, EntriesSince: revision, RemovalsSince: s.removalsSince}
+	switch {
+	case revision >= s.removalsSince:
+		p.Entries = s.Since(revision, tableRevision)
+	case digest != 0 && digest == s.digest:
+		p.EntriesSince = s.revision
+	default:
+		p.Entries, p.Listing = s.Since(0, tableRevision), true
+	}
+	return p
+}
+
+// ExpireTombstones discards the records of removals that are older than tombstoneRetention.
 func (s *State) ExpireTombstones(now time.Time) {
 	for key, r := range s.records {
 		if r.value == nil && now.Sub(r.removedAt) > tombstoneRetention {
 			delete(s.records, key)
+			s.removalsSince = max(s.removalsSince, r.revision)
 		}
 	}
 }
