Send nothing late in a stop, and answer what its end interrupts

Cause: the refusal was checked when the header had been read only, and the end of the stop closed connections without ending their requests.

Change: the refusal is checked again before the first send. At the end of the stop, requests in progress are ended with 502, or 503 if nothing was sent.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -76,8 +77,10 @@
 	active           atomic.Int64
 	// keepAlivesDisabled is set when responses are to close their connections.
 	keepAlivesDisabled atomic.Bool
-	// refusing is set in the last phase of a graceful shutdown.
-	refusing atomic.Bool
+	// refusing is set in the last phase of a graceful shutdown, and ending is canceled at its end.
+	refusing    atomic.Bool
+	ending      context.Context
+	endRequests context.CancelFunc
 
 	mu      sync.Mutex
 	placer  *placement.Placer
@@ -102,6 +105,7 @@
 		servedLogLimiter: rate.NewLimiter(servedLogsPerSecond, servedLogsPerSecond),
 		budget:           retry.NewBudget(retry.Options{Ratio: o.Bounds.RetryRatio, Reserve: minReserveShare, Window: o.Bounds.RetryWindow.D()}),
 	}
+	s.ending, s.endRequests = context.WithCancel(context.Background())
 	return s
 }
 
@@ -160,9 +164,14 @@
 // DisableKeepAlives makes all further responses close their connections.
 func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
 
-// RefuseRequests makes the server refuse all new requests with a response that states that they were not executed.
+// RefuseRequests makes the server refuse all requests that it has not sent to an endpoint yet, with a response that states
+// that they were not executed.
 func (s *Server) RefuseRequests() { s.refusing.Store(true) }
 
+// EndRequests ends the requests in progress with a response that states whether they may have been executed. Those whose
+// response has begun are cut off.
+func (s *Server) EndRequests() { s.endRequests() }
+
 // Maintain runs the periodic maintenance: it closes idle connections, removes expired requests of other daemons,
 // and adjusts the retry reserve to the size of the fleet.
 func (s *Server) Maintain() {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -39,22 +39,28 @@
 	cut bool
 }
 
+// errShuttingDown is the cause of the end of requests at the end of a graceful shutdown.
+var errShuttingDown = errors.New("the daemon is stopping")
+
 // forward sends a request to endpoints until one has responded, and responds to the caller.
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, req *request) {
-	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
+	ctx, end := context.WithCancelCause(r.Context())
+	defer end(nil)
+	defer context.AfterFunc(s.ending, func() { end(errShuttingDown) })()
+	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	s.recordArrival(req)
 	relay := &responseRelay{w: w, s: s, req: req}
-	end := s.runAttempts(ctx, req, relay)
-	if end.reply != nil && relay.started {
-		end = completion{status: relay.status, reason: end.reply.reason, detail: end.reply.detail, cut: true}
+	done := s.runAttempts(ctx, req, relay)
+	if done.reply != nil && relay.started {
+		done = completion{status: relay.status, reason: done.reply.reason, detail: done.reply.detail, cut: true}
 	}
-	s.recordCompletion(r, req, end)
+	s.recordCompletion(r, req, done)
 	switch {
-	case end.cut:
+	case done.cut:
 		panic(http.ErrAbortHandler)
-	case end.reply != nil:
-		s.write(w, req.caller, end.reply)
+	case done.reply != nil:
+		s.write(w, req.caller, done.reply)
 	}
 }
 
@@ -139,9 +145,15 @@
 	return completion{}, false
 }
 
-// contextEnded returns the completion of a request whose deadline has passed or is less than minRemaining away, or
-// whose caller has disconnected.
+// contextEnded returns the completion of a request whose deadline has passed or is less than minRemaining away, whose
+// caller has disconnected, or which EndRequests has ended.
 func (s *Server) contextEnded(ctx context.Context, req *request) completion {
+	if errors.Is(context.Cause(ctx), errShuttingDown) {
+		if req.sends == 0 {
+			return completion{reply: notRun(ShuttingDown, stopRetryAfter)}
+		}
+		return completion{reply: &reply{status: http.StatusBadGateway, reason: ShuttingDown}}
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return completion{cut: true, reason: CallerDisconnected}
 	}
@@ -183,8 +195,12 @@
 	cause string
 }
 
-// attempt sends the request to one endpoint and relays its response.
+// attempt sends the request to one endpoint and relays its response. In the last phase of a graceful shutdown it does not
+// send a request that no endpoint may have executed yet: the rest of the phase is for those in progress.
 func (s *Server) attempt(ctx context.Context, req *request, c placement.Choice, placed *placedAttempt, relay *responseRelay) attemptResult {
+	if s.refusing.Load() && !req.mayHaveRun {
+		return attemptResult{completion: &completion{reply: notRun(ShuttingDown, stopRetryAfter)}, outcome: placement.Canceled}
+	}
 	req.endpoint, req.prefillTokens, req.predictedWait = c.Endpoint.ID, c.PrefillTokens, c.Wait
 	out := EndpointRequest{
 		EndpointID: c.Endpoint.ID, Workspace: req.workspace.Name, Priority: req.priority, Engine: req.pool.Engine != nil,
--- a/internal/entry/reasons.go
+++ b/internal/entry/reasons.go
@@ -55,7 +55,7 @@
 	CrashedEndpoints:     "The same request was running on several endpoints when they crashed, so it is not sent to others.",
 	CrashingPart:         "Endpoints crashed one after the other when they began to answer requests with a part of this prompt, so it is not sent; look for the lines about lost requests.",
 	NoTable:              "The daemon had not received a configuration yet; look for its start and for log lines about the store.",
-	ShuttingDown:         "The daemon was stopping; the caller was told to retry at another one.",
+	ShuttingDown:         "The daemon was stopping. With status 503 the request was not sent and the caller was told to retry at another daemon; with 502 it was still in progress at the end of the stop.",
 	NoRoute:              "No route of the configuration in force matches the host and path; compare version with the latest one.",
 	NoRouteMaybeStale:    "No route matches, but the daemon had lost contact with the store, so it asked the caller to retry.",
 	UnknownKey:           "No workspace of the configuration in force has the API key; compare version with the latest one.",
--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -234,14 +234,16 @@
 	// acceptAfterStop is the time for which a stopping daemon still accepts requests, from callers that have not
 	// yet learned that it is leaving. Streams that started later might not end before the process is killed.
 	acceptAfterStop = 2500 * time.Millisecond
-	// closeReserve is the part of the shutdown time that is reserved for closing connections.
-	closeReserve = 400 * time.Millisecond
+	// closeReserve is the part of the shutdown time that is reserved for ending requests and closing connections, and
+	// lastRepliesTimeout the part of it in which the responses to those requests are written.
+	closeReserve       = 400 * time.Millisecond
+	lastRepliesTimeout = 250 * time.Millisecond
 	// idlePollInterval is the interval of polling whether all requests have ended.
 	idlePollInterval = 50 * time.Millisecond
 )
 
-// stop announces to the fleet that the daemon is leaving, waits for the requests in progress and closes the
-// connections of callers.
+// stop announces to the fleet that the daemon is leaving, waits for the requests in progress, ends those that take too long
+// and closes the connections of callers.
 func (n *Node) stop() {
 	start := time.Now()
 	deadline := start.Add(n.settings.Bounds.Stop.D() - closeReserve)
@@ -255,6 +257,9 @@
 	for n.server.Active() > 0 && ctx.Err() == nil {
 		time.Sleep(idlePollInterval)
 	}
+	n.server.EndRequests()
+	ctx, cancelReplies := context.WithDeadline(context.Background(), deadline.Add(lastRepliesTimeout))
+	defer cancelReplies()
 	// Shutdown closes idle connections and waits for responses that are still being written.
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		n.log.Warn("requests were cut", "requests", n.server.Active(), "error", err)
