Test changes after a silent outage of the store

In the simulated fleet such calls now stay without a reply after the outage, and TestSpreadAfterSilentOutage checks that a change that follows within 3 s is in force everywhere within 2 s, with 8 and 30 daemons.

--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -74,12 +74,13 @@
 
 	dead    bool
 	noStore bool
-	// storeSilent is set when calls to the store get no reply.
-	storeSilent  bool
-	sendFree     time.Time
-	receiveFree  time.Time
-	bytes        int
-	inForceSince map[int64]time.Time
+	// storeSilent is set when calls to the store get no reply, and storeSilences counts how often that has begun.
+	storeSilent   bool
+	storeSilences int
+	sendFree      time.Time
+	receiveFree   time.Time
+	bytes         int
+	inForceSince  map[int64]time.Time
 }
 
 type simPacket struct {
@@ -208,12 +209,21 @@
 	d.sim.mu.Lock()
 	defer d.sim.mu.Unlock()
 	d.storeSilent = true
+	d.storeSilences++
 }
 
-func (d *simDaemon) isStoreSilent() bool {
+// restoreStore ends what silenceStore began. Calls made before get no reply.
+func (d *simDaemon) restoreStore() {
 	d.sim.mu.Lock()
 	defer d.sim.mu.Unlock()
-	return d.storeSilent
+	d.storeSilent = false
+}
+
+// silences returns how often the store has fallen silent, and whether it is silent.
+func (d *simDaemon) silences() (int, bool) {
+	d.sim.mu.Lock()
+	defer d.sim.mu.Unlock()
+	return d.storeSilences, d.storeSilent
 }
 
 // setLoss sets the share of datagrams that are lost.
--- a/internal/fleet/simstore_test.go
+++ b/internal/fleet/simstore_test.go
@@ -65,7 +65,7 @@
 // call counts a call and waits for the reply.
 func (k *simKV) call(ctx context.Context) error {
 	sleepContext(ctx, simStoreDelay)
-	if k.d.isStoreSilent() {
+	if _, silent := k.d.silences(); silent {
 		sleepContext(ctx, simCallTimeout)
 		return platform.ErrUnavailable
 	}
@@ -127,19 +127,21 @@
 // poll waits for up to simWatchWait for events.
 func (k *simKV) poll(ctx context.Context, from int64) platform.WatchReply {
 	s := k.d.sim.store
+	began := time.Now()
+	before, silentBefore := k.d.silences()
 	s.mu.Lock()
 	changed, current := s.changed, s.revision
 	s.mu.Unlock()
 	if current < from {
-		start := time.Now()
 		select {
 		case <-changed:
 		case <-time.After(simWatchWait):
 		case <-ctx.Done():
 		}
-		if k.d.isStoreSilent() {
-			sleepContext(ctx, time.Until(start.Add(simWatchWait)))
-		}
+	}
+	if after, _ := k.d.silences(); silentBefore || after != before {
+		sleepContext(ctx, time.Until(began.Add(simWatchWait+simCallTimeout)))
+		return platform.WatchReply{Err: platform.ErrUnavailable}
 	}
 	if err := k.call(ctx); err != nil {
 		return platform.WatchReply{Err: err}
--- a/internal/fleet/spread_test.go
+++ b/internal/fleet/spread_test.go
@@ -291,3 +291,29 @@
 		}
 	}
 }
+
+// TestSpreadAfterSilentOutage guards against a change that waits for calls to the store that were made in the last
+// moments of an outage and never get a reply.
+func TestSpreadAfterSilentOutage(t *testing.T) {
+	warmUp(t)
+	const outage = 3300 * time.Millisecond
+	for _, n := range []int{8, 30} {
+		for _, later := range []time.Duration{0, 400 * time.Millisecond, 1100 * time.Millisecond, 3 * time.Second} {
+			t.Run(fmt.Sprintf("%d/%s", n, later), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := startSim(t, n, 6)
+					defer s.stop()
+					for _, d := range s.daemons {
+						d.silenceStore()
+					}
+					time.Sleep(outage)
+					for _, d := range s.daemons {
+						d.restoreStore()
+					}
+					time.Sleep(later)
+					s.checkChange("after the outage", 2, 6<<10)
+				})
+			})
+		}
+	}
+}
