Let log lines that follow the close of the log be lost

A goroutine that outlives the graceful stop and writes a log line made the process panic ("send on closed channel") and exit with an error, after all requests had ended. Found by reading for the reload during a stop; not seen in a process.

The writer's queue is no longer closed; Close drains it and stops the goroutine.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -11,17 +11,18 @@
 // bufferedLines is the capacity of the queue, in lines.
 const bufferedLines = 2048
 
-// Writer copies log lines to an output asynchronously. Each Write is one line. It is safe for concurrent use,
-// except that no Write may follow or overlap Close.
+// Writer copies log lines to an output asynchronously. Each Write is one line. It is safe for concurrent use. Lines that
+// are written after Close are lost.
 type Writer struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	closing chan struct{}
 	done    chan struct{}
 }
 
 // New returns a Writer for out and starts its goroutine, which Close stops.
 func New(out io.Writer) *Writer {
-	w := &Writer{lines: make(chan []byte, bufferedLines), done: make(chan struct{})}
+	w := &Writer{lines: make(chan []byte, bufferedLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run(out)
 	return w
 }
@@ -42,7 +43,11 @@
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
 	reported := int64(0)
-	for line := range w.lines {
+	for {
+		line, ok := w.next()
+		if !ok {
+			return
+		}
 		// An output error is ignored, because there is no other output to report it to.
 		_, _ = out.Write(line)
 		if dropped := w.dropped.Load(); dropped > reported && len(w.lines) == 0 {
@@ -52,8 +57,23 @@
 	}
 }
 
-// Close writes the queued lines and stops the goroutine. Write must not be called after Close.
+// next returns the next line. ok is false if the writer is closing and no line is left.
+func (w *Writer) next() (line []byte, ok bool) {
+	select {
+	case line := <-w.lines:
+		return line, true
+	case <-w.closing:
+	}
+	select {
+	case line := <-w.lines:
+		return line, true
+	default:
+		return nil, false
+	}
+}
+
+// Close writes the queued lines and stops the goroutine. It must be called once.
 func (w *Writer) Close() {
-	close(w.lines)
+	close(w.closing)
 	<-w.done
 }
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -18,6 +18,25 @@
 	return o.Buffer.Write(p)
 }
 
+// TestWriteAfterClose guards against a panic when a goroutine that outlives the daemon's graceful stop writes a log line:
+// the process would end with an error.
+func TestWriteAfterClose(t *testing.T) {
+	out := &bytes.Buffer{}
+	w := New(out)
+	if _, err := w.Write([]byte("before\n")); err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	for range 2 * bufferedLines {
+		if n, err := w.Write([]byte("after\n")); n == 0 || err != nil {
+			t.Fatalf("%d, %v", n, err)
+		}
+	}
+	if got := out.String(); got != "before\n" {
+		t.Errorf("output %q", got)
+	}
+}
+
 // TestWriterNeverBlocks guards against callers that block on a stalled log output, and against dropped lines
 // that are neither counted nor reported in the log.
 func TestWriterNeverBlocks(t *testing.T) {
