--- a/review/standins-2/daemon.go
+++ b/review/standins-2/daemon.go
@@ -148,7 +148,7 @@
 	defer log.Close()
 	cmd := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec target/chivewind entry", maxFiles))
 	cmd.Dir = d.root
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=/tmp", "CHIVEWIND_SETTINGS=" + d.settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CHIVEWIND_SETTINGS=" + d.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
