Reject responses whose status is none

What callers saw: an endpoint answered with the status 000, or another one below 100 or above 599. In `entry` a caller got a part of the body as the answer, waited for the route's timeout, or got the status 999 as the answer. In `serve` the response counted as complete and was written with its status, at which net/http panics for 000.

Cause: http.ReadResponse accepts any three digits, with a sign too. upstream skipped all that is below 200 as informational, so that it read the body of such a response as the next head. dispatch passed each complete response on.

Change: responsehead.Check rejects statuses outside 100 to 599, and 101, which answers only an Upgrade that is never sent. upstream checks each head that it reads, informational ones too, and httpclient each response. The attempt then fails like one whose response cannot be parsed: the request may have run, the connection is closed, and a request that may be repeated goes to another endpoint.

The fix works because both paths read heads in one place each, and nothing behind it sees a status that it cannot classify.

--- /dev/null
+++ b/internal/entry/trouble_head_test.go
@@ -0,0 +1,72 @@
+package entry_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// headRoutes are paths of routes whose answers are read in different ways.
+var headRoutes = []string{"/once/1", "/safe/1", "/stream/1", "/resume/1"}
+
+// checkInvalidHead calls a system whose only endpoint answers with an invalid head, and checks that no caller gets that
+// as an answer, waits for its route's timeout, or is told that the request has not run.
+func checkInvalidHead(t *testing.T, answer func(w net.Conn, r *http.Request)) {
+	t.Helper()
+	e := startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) { answer(w, r) })
+	s := startSystem(t, unreachedTimeoutMs, e)
+	for _, path := range headRoutes {
+		start := time.Now()
+		got := s.call(t, path)
+		if got.status != http.StatusBadGateway {
+			t.Errorf("%s: status %d, cut %v, body %q; want 502", path, got.status, got.cut, got.body)
+		}
+		if took := time.Since(start); took > unreachedTimeoutMs*time.Millisecond/2 {
+			t.Errorf("%s: ended after %s", path, took)
+		}
+	}
+}
+
+// TestTroubleInvalidStatus guards against an answer whose status is none: it must not be delivered, and what follows its
+// head must not be taken for another answer.
+func TestTroubleInvalidStatus(t *testing.T) {
+	bodies := map[string]string{
+		"no body":            "",
+		"body":               "broken",
+		"body like a head":   "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\nContent-Length: 3\r\n\r\nbad",
+		"body like a stream": "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: 1\n\n",
+	}
+	for _, status := range []string{"000", "-00", "+20", "001", "020", "099", "101", "600", "999"} {
+		for desc, body := range bodies {
+			t.Run(status+" "+desc, func(t *testing.T) {
+				t.Parallel()
+				checkInvalidHead(t, func(w net.Conn, r *http.Request) {
+					fmt.Fprintf(w, "HTTP/1.1 %s X\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", status, r.Header.Get("Attempt-Id"), len(body), body)
+				})
+			})
+		}
+	}
+}
+
+// TestTroubleInvalidStatusIsRetried guards against a request that may be repeated and fails although a second endpoint is
+// sound.
+func TestTroubleInvalidStatusIsRetried(t *testing.T) {
+	var arrived atomic.Int64
+	serve := func(_ int, w net.Conn, r *http.Request) {
+		if arrived.Add(1) == 1 {
+			fmt.Fprintf(w, "HTTP/1.1 000 X\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Attempt-Id"))
+			return
+		}
+		writeResponse(w, r, http.StatusOK, "sound")
+	}
+	s := startSystem(t, unreachedTimeoutMs, startEndpoint(t, "1", serve), startEndpoint(t, "2", serve))
+	if got := s.call(t, "/safe/1"); got.status != http.StatusOK || got.body != "sound" {
+		t.Errorf("status %d, body %q", got.status, got.body)
+	}
+	if n := arrived.Load(); n != 2 {
+		t.Errorf("%d requests arrived, want 2", n)
+	}
+}
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/chivewind/chivewind/internal/responsehead"
 )
 
 const (
@@ -72,8 +74,9 @@
 	responseStarted atomic.Bool
 }
 
-// Send sends the request once, on a new connection if fresh is set or needsFreshConnection requires it. The caller must
-// close the response body. The exchange is not nil even if an error is returned, so that Sent and Stale can be called.
+// Send sends the request once, on a new connection if fresh is set or needsFreshConnection requires it. A response with an
+// invalid head is an error. The caller must close the response body. The exchange is not nil even if an error is
+// returned, so that Sent and Stale can be called.
 func (c *Client) Send(req *http.Request, fresh bool) (*Exchange, error) {
 	x := &Exchange{}
 	trace := &httptrace.ClientTrace{
@@ -91,8 +94,16 @@
 		t = c.fresh
 	}
 	resp, err := t.RoundTrip(req)
+	if err != nil {
+		return x, err
+	}
+	if err := responsehead.Check(resp); err != nil {
+		x.CloseConnection()
+		_ = resp.Body.Close()
+		return x, err
+	}
 	x.Response = resp
-	return x, err
+	return x, nil
 }
 
 // preventReplay gives the request a body that the transport cannot rewind, because the transport resends
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/chivewind/chivewind/internal/responsehead"
 )
 
 const (
@@ -230,6 +232,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := responsehead.Check(head); err != nil {
+			return nil, err
+		}
 		if head.StatusCode >= http.StatusOK {
 			return head, nil
 		}
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -8,14 +8,15 @@
 	"time"
 )
 
-// FuzzAnswer guards against answers of a faulty endpoint that crash or hang the client, that are taken for the answer to
-// another request, or of which more is held than the limits allow.
+// FuzzAnswer guards against answers of a faulty endpoint that crash or hang the client, that are delivered although their
+// head is invalid, that are taken for the answer to another request, or of which more is held than the limits allow.
 func FuzzAnswer(f *testing.F) {
 	f.Add([]byte(response("r", "answer")))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nabc" + response("r", "answer")))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n5;x\r\nhello\r\n0\r\nA: b\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 503 Busy\r\nKeep-Alive: timeout=5\r\n\r\n"))
 	f.Add([]byte("\x00\x01no answer"))
+	f.Add([]byte("HTTP/1.1 000 X\r\nId: r\r\n\r\n" + response("r", "answer")))
 	f.Fuzz(func(t *testing.T, answer []byte) {
 		client := newTestClient(t)
 		defer client.Close()
@@ -41,6 +42,9 @@
 		if id := resp.Header.Get("Id"); id != "r" && (id != "" || resp.Status < 300) {
 			t.Errorf("status %d with the ID %q was taken for the answer to r", resp.Status, id)
 		}
+		if resp.Status < 200 || resp.Status > 599 {
+			t.Errorf("status %d was taken for an answer", resp.Status)
+		}
 		body, err := io.ReadAll(resp)
 		if err == nil && resp.Length >= 0 && int64(len(body)) != resp.Length {
 			t.Errorf("%d of %d bytes look complete", len(body), resp.Length)
