Reject responses with a blank in the name of a field

What callers saw: an endpoint answered with "Transfer-Encoding : chunked", and the caller of `entry` got the chunks with their sizes as the body, status 200; with "Content-Length : 6" the end of the connection ended the body, and with any other such name the answer was delivered without that line. `serve` passed such answers on too.

Cause: net/http keeps a field whose name holds a blank, as text that equals no known name, so that it ignores the length and the chunks that the line declares. RFC 9112 forbids white space between name and colon, and 9110 in names. net/http rejects control bytes and all others that are no token.

Change: responsehead.Check rejects responses with such a name. Both forwarding paths call it for each head, informational ones in `entry` too.

Tests on the code before: entry TestTroubleInvalidFieldName "Transfer-Encoding : chunked": /once/1: status 200, body "6\r\nanswer\r\n0\r\n\r\n"; want 502 "Content-Length : 6": /once/1: status 200, body "answer"; want 502 "X Note: 1" and the same in a 103 before the answer: status 200; want 502 the eight names with control bytes, other bytes or no colon: 502 already endpoint/plain TestTroubleInvalidFieldName: "X Note: 1", GET: Complete:true upstream FuzzAnswer/seed#5: the field name "Content-Length " was accepted They pass now. TestSoundHeads keeps valid heads: all token characters, empty and padded values, 100 and 103 before the answer, statuses 299, 418, 451, 511 and 599; it passed before too. The fix works because a parsed head has every name that was sent, and nothing is delivered before it is checked.

--- a/internal/entry/trouble_head_test.go
+++ b/internal/entry/trouble_head_test.go
@@ -70,3 +70,61 @@
 		t.Errorf("%d requests arrived, want 2", n)
 	}
 }
+
+// TestTroubleInvalidFieldName guards against an answer with a field whose name is no token: other software may read that
+// as the field it resembles, so that the end of the body is uncertain.
+func TestTroubleInvalidFieldName(t *testing.T) {
+	for _, c := range []struct{ before, field, body string }{
+		{field: "Content-Length : 6", body: "answer"},
+		{field: "Transfer-Encoding : chunked", body: "6\r\nanswer\r\n0\r\n\r\n"},
+		{field: "Transfer-Encoding : chunked", body: "f\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n"},
+		{field: "X Note: 1\r\nContent-Length: 0"},
+		{field: "X-Note\t: 1\r\nContent-Length: 0"},
+		{field: "X\x00Note: 1\r\nContent-Length: 0"},
+		{field: "X\x1fNote: 1\r\nContent-Length: 0"},
+		{field: "X\x7fNote: 1\r\nContent-Length: 0"},
+		{field: "X\rNote: 1\r\nContent-Length: 0"},
+		{field: "X-N\xc3\xb6te: 1\r\nContent-Length: 0"},
+		{field: "X(Note): 1\r\nContent-Length: 0"},
+		{field: ": 1\r\nContent-Length: 0"},
+		{field: "X-Note\r\nContent-Length: 0"},
+		{before: "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n", field: "Content-Length: 0"},
+	} {
+		t.Run(fmt.Sprintf("%q", c.before+c.field), func(t *testing.T) {
+			t.Parallel()
+			checkInvalidHead(t, func(w net.Conn, r *http.Request) {
+				fmt.Fprintf(w, "%sHTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\n%s\r\n\r\n%s", c.before, r.Header.Get("Attempt-Id"), c.field, c.body)
+				_ = w.Close()
+			})
+		})
+	}
+}
+
+// TestSoundHeads guards against rejecting answers whose heads are unusual but valid.
+func TestSoundHeads(t *testing.T) {
+	const tokenName = "X!#$%&'*+-.^_`|~09aZ"
+	for _, c := range []struct {
+		before, field string
+		status        int
+	}{
+		{status: 200, field: tokenName + ": 1"},
+		{status: 200, field: "X-Note:"},
+		{status: 200, field: "X-Note:\t a  b \t"},
+		{status: 200, before: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+		{status: 299}, {status: 418}, {status: 451}, {status: 511}, {status: 599},
+	} {
+		e := startEndpoint(t, "1", func(_ int, w net.Conn, r *http.Request) {
+			field := c.field
+			if field != "" {
+				field += "\r\n"
+			}
+			fmt.Fprintf(w, "%sHTTP/1.1 %d X\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\n%sContent-Length: 6\r\n\r\nanswer", c.before, c.status, r.Header.Get("Attempt-Id"), field)
+		})
+		s := startSystem(t, unreachedTimeoutMs, e)
+		for range 2 {
+			if got := s.call(t, "/once/1"); got.status != c.status || got.body != "answer" || got.cut {
+				t.Errorf("%d, %q%q: got status %d, body %q, cut %v", c.status, c.before, c.field, got.status, got.body, got.cut)
+			}
+		}
+	}
+}
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // Bounds of the statuses that RFC 9110 defines.
@@ -12,6 +13,9 @@
 	maxStatus = 599
 )
 
+// maxQuoted limits the bytes of a field name that are quoted in an error.
+const maxQuoted = 64
+
 // Check returns an error if a response that net/http has parsed has an invalid head. It must not be delivered then, and
 // its connection must be closed, because it is unknown where the response ends.
 func Check(resp *http.Response) error {
@@ -22,5 +26,11 @@
 		// Requests to endpoints have no Upgrade header.
 		return fmt.Errorf("unexpected response with status %d", status)
 	}
+	for name := range resp.Header {
+		// net/http rejects all other bytes that a field name must not contain.
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("response with the invalid field name %q", name[:min(len(name), maxQuoted)])
+		}
+	}
 	return nil
 }
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -28,3 +28,15 @@
 		}
 	}
 }
+
+// TestFieldName guards against a field name with a blank, and against rejecting one that is valid.
+func TestFieldName(t *testing.T) {
+	for field, valid := range map[string]bool{
+		"Content-Length : 1": false, "X Note: 1": false, "X-Note  : 1": false, "X" + strings.Repeat(" ", 4000) + ": 1": false,
+		"X-Note: a b": true, "!#$%&'*+-.^_`|~09aZ: 1": true, "x-note:": true,
+	} {
+		if err := Check(parse(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\n")); (err == nil) != valid {
+			t.Errorf("%.40q: %v", field, err)
+		}
+	}
+}
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 )
@@ -16,6 +17,7 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n5;x\r\nhello\r\n0\r\nA: b\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 503 Busy\r\nKeep-Alive: timeout=5\r\n\r\n"))
 	f.Add([]byte("\x00\x01no answer"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: r\r\nContent-Length : 1\r\n\r\na"))
 	f.Add([]byte("HTTP/1.1 000 X\r\nId: r\r\n\r\n" + response("r", "answer")))
 	f.Fuzz(func(t *testing.T, answer []byte) {
 		client := newTestClient(t)
@@ -45,6 +47,11 @@
 		if resp.Status < 200 || resp.Status > 599 {
 			t.Errorf("status %d was taken for an answer", resp.Status)
 		}
+		for name := range resp.Header {
+			if strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f }) {
+				t.Errorf("an answer with the field name %q was accepted", name)
+			}
+		}
 		body, err := io.ReadAll(resp)
 		if err == nil && resp.Length >= 0 && int64(len(body)) != resp.Length {
 			t.Errorf("%d of %d bytes look complete", len(body), resp.Length)
--- a/modules/endpoint/plain/plain_test.go
+++ b/modules/endpoint/plain/plain_test.go
@@ -285,6 +285,13 @@
 	}
 }
 
+// Guards against a response with a field whose name is no token and that is passed on.
+func TestTroubleInvalidFieldName(t *testing.T) {
+	for _, field := range []string{"X Note: 1", "Transfer-Encoding : chunked", "X-Note\t: 1", "X\x00Note: 1", "X\x7fNote: 1"} {
+		checkInvalidHead(t, field, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n"+field+"\r\n\r\nanswer")
+	}
+}
+
 // Guards against a response without a length or an end marker that is taken for complete when its
 // connection closes.
 func TestLengthUnknown(t *testing.T) {
