Reject folded fields in the responses of endpoints

What callers saw: an endpoint put a blank before a field, as in "\r\n Transfer-Encoding: chunked", and the caller of `entry` got the chunks with their sizes as the body, status 200.

Cause: a line that begins with a blank continues the value of the field before it (obs-fold of RFC 9112, 5.2, which senders must not use). net/http joins the two, so that the parsed head does not show it: no check of names finds it.

Change: foldScanner looks for such lines in the bytes of each head that upstream reads, from those that were buffered before to the blank line, and readHead rejects the response, as the RFC lets a proxy do. Bodies are not scanned.

The fix works because the bytes are seen before they are parsed.

`serve` reads heads with the transport of net/http, behind TLS too, and still joins such lines. It rejects answers without a length or chunks, so that this matters only for the stream of an engine.

--- a/internal/entry/trouble_head_test.go
+++ b/internal/entry/trouble_head_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -102,7 +103,10 @@
 
 // TestSoundHeads guards against rejecting answers whose heads are unusual but valid.
 func TestSoundHeads(t *testing.T) {
-	const tokenName = "X!#$%&'*+-.^_`|~09aZ"
+	const (
+		tokenName = "X!#$%&'*+-.^_`|~09aZ"
+		body      = "answer\n with blanks\r\n\r\n\tand lines\n"
+	)
 	for _, c := range []struct {
 		before, field string
 		status        int
@@ -118,13 +122,35 @@
 			if field != "" {
 				field += "\r\n"
 			}
-			fmt.Fprintf(w, "%sHTTP/1.1 %d X\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\n%sContent-Length: 6\r\n\r\nanswer", c.before, c.status, r.Header.Get("Attempt-Id"), field)
+			fmt.Fprintf(w, "%sHTTP/1.1 %d X\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\n%sContent-Length: %d\r\n\r\n%s", c.before, c.status, r.Header.Get("Attempt-Id"), field, len(body), body)
 		})
 		s := startSystem(t, unreachedTimeoutMs, e)
 		for range 2 {
-			if got := s.call(t, "/once/1"); got.status != c.status || got.body != "answer" || got.cut {
+			if got := s.call(t, "/once/1"); got.status != c.status || got.body != body || got.cut {
 				t.Errorf("%d, %q%q: got status %d, body %q, cut %v", c.status, c.before, c.field, got.status, got.body, got.cut)
 			}
 		}
 	}
 }
+
+// TestTroubleFoldedField guards against an answer in whose head a line begins with a blank: it continues the line before,
+// but other software may read it as a field.
+func TestTroubleFoldedField(t *testing.T) {
+	for _, c := range []struct{ before, fields, body string }{
+		{fields: "X-Note: 1\r\n Transfer-Encoding: chunked", body: "6\r\nanswer\r\n0\r\n\r\n"},
+		{fields: "X-Note: 1\r\n\tTransfer-Encoding: chunked", body: "f\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n"},
+		{fields: "X-Note: 1\r\n Content-Length: 6", body: "answer"},
+		{fields: "X-Note: 1\n more\nContent-Length: 0"},
+		{fields: "X-Note: " + strings.Repeat("x", 3*4096) + "\r\n more\r\nContent-Length: 0"},
+		{fields: "Content-Length: 0\r\n \r\nX-Note: 1"},
+		{before: "HTTP/1.1 103 Early Hints\r\nX-Note: 1\r\n more\r\n\r\n", fields: "Content-Length: 0"},
+	} {
+		t.Run(fmt.Sprintf("%.60q", c.before+c.fields), func(t *testing.T) {
+			t.Parallel()
+			checkInvalidHead(t, func(w net.Conn, r *http.Request) {
+				fmt.Fprintf(w, "%sHTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\n%s\r\n\r\n%s", c.before, r.Header.Get("Attempt-Id"), c.fields, c.body)
+				_ = w.Close()
+			})
+		})
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -96,11 +96,13 @@
 	return c.writeErr
 }
 
-// limitedReader reads from source, and fails while it is limited once remaining bytes have been read.
+// limitedReader reads from source. While it is limited, it passes what it reads to folds, and fails once remaining bytes
+// have been read.
 type limitedReader struct {
 	source    io.Reader
 	limited   bool
 	remaining int
+	folds     foldScanner
 }
 
 // Read implements io.Reader.
@@ -113,6 +115,7 @@
 	}
 	n, err := l.source.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	l.folds.scan(p[:n])
 	return n, err
 }
 
@@ -228,10 +231,16 @@
 	c.source.limited, c.source.remaining = true, maxHeadBytes
 	defer func() { c.source.limited = false }()
 	for {
+		c.source.folds = foldScanner{}
+		received, _ := c.reader.Peek(c.reader.Buffered())
+		c.source.folds.scan(received)
 		head, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
 		}
+		if c.source.folds.folded {
+			return nil, errFoldedField
+		}
 		if err := responsehead.Check(head); err != nil {
 			return nil, err
 		}
