Take replies with an invalid head for no reply of store and control plane

What callers saw: nothing yet. The daemons took a reply of the platform whose status is none, or which has a field with a blank in its name, for a statement: an order to the control plane and the end of a lease counted as done with the status 000, and other writes to the store as not applied, although they may have been.

Cause: the same as for the answers of endpoints: net/http accepts such heads. Control.post took each status below 300 for a success, Store.Revoke too, and the other writes each status without a meaning for a refusal.

The fix works because no status of such a reply is read.

--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -34,3 +34,21 @@
 	}
 	return nil
 }
+
+// Transport is an http.Transport that returns an error for a response with an invalid head.
+type Transport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(resp); err != nil {
+		_ = resp.Body.Close()
+		// The connection of a response without a body is in the pool already.
+		t.CloseIdleConnections()
+		return nil, err
+	}
+	return resp, nil
+}
