Report only responses of the 2xx class as success in the administration client

What callers saw: nothing yet. `chivewind` told an operator that a change was made after a response with the status 000, 101 or 304, or with a blank in the name of a field, if it held JSON or the command expects no body, as the settling of a request with an unknown outcome does.

Cause: Client.call took each status below 400 for a success.

Change: a response with an invalid head, and each status of 300 or above, is an error. The API itself answers with 2xx, 4xx and 5xx only.

Test on the code before: adminapi TestTroubleInvalidResponse, no error for the statuses 000, -00, +20, 099, 101, 300 and 304 and for the names with a blank. It passes now, as do the tests of cli and modules/admin.

--- a/adminapi/client.go
+++ b/adminapi/client.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/chivewind/chivewind/internal/responsehead"
 )
 
 // clientTimeout limits one call. After the key-value service has lost the reply to a change, the daemon may take
@@ -26,7 +28,7 @@
 	HTTP *http.Client
 }
 
-// Get requests path and decodes the JSON response into out. A response with a status of 400 or above
+// Get requests path and decodes the JSON response into out. A response with a status of 300 or above
 // is returned as an *Error.
 func (c *Client) Get(ctx context.Context, path string, out any) error {
 	return c.call(ctx, http.MethodGet, path, nil, 0, out)
@@ -52,11 +54,14 @@
 		return fmt.Errorf("call the administration API at %s: %w", c.Base, err)
 	}
 	defer resp.Body.Close()
+	if err := responsehead.Check(resp); err != nil {
+		return fmt.Errorf("call the administration API at %s: %w", c.Base, err)
+	}
 	raw, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return fmt.Errorf("read the response from %s: %w", c.Base, err)
 	}
-	if resp.StatusCode >= 400 {
+	if resp.StatusCode >= http.StatusMultipleChoices {
 		apiErr := &Error{}
 		if json.Unmarshal(raw, apiErr) != nil || apiErr.Message == "" {
 			apiErr.Message = fmt.Sprintf("%s: %s", resp.Status, strings.TrimSpace(string(raw)))
