Test a reset during the upload in the plain endpoint kind

A service answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is being written. The caller must not get the part as a complete answer.

The code handles this already, so that only the test is new.

--- a/modules/endpoint/plain/plain_test.go
+++ b/modules/endpoint/plain/plain_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -281,6 +282,29 @@
 	}
 }
 
+// Guards against a response without a length that is taken for complete although the service reset the connection while
+// the request was being written.
+func TestTroubleResetWhileWriting(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		// The client has to read the part before the reset.
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}))
+	defer server.Close()
+	for range 10 {
+		got := plain.New().Do(context.Background(), attempt(server.URL, http.MethodPost, strings.Repeat("x", 16<<20)), &recorder{})
+		if got.Complete || !got.MayHaveRun() {
+			t.Errorf("%+v", got)
+		}
+	}
+}
+
 // Guards against a non-idempotent request on a pooled connection. The service may be closing it at that
 // moment, which would make the outcome of the request unknown for no reason.
 func TestNonIdempotentFreshConnection(t *testing.T) {
