Check informational responses in serve

What callers saw: an answer of an endpoint of `serve` was delivered although a 103 before it had a blank in the name of a field, which `entry` rejects.

Cause: the transport of net/http reads informational responses itself, so that responsehead.Check in httpclient saw only the last response of an exchange.

Change: a trace hook checks the fields of informational responses with responsehead.CheckFields. Its error ends the exchange and its connection.

Test on the code before: endpoint/plain TestTroubleInvalidHead with a 103 and "X Note: 1" before a 200: Complete:true for GET, HEAD and POST. It passes now, 50 times of 50 with the race detector. The table of invalid heads has two more names, an empty one and one without a colon, which all clients rejected before.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -86,6 +87,8 @@
 			x.Reused = info.Reused
 		},
 		GotFirstResponseByte: func() { x.responseStarted.Store(true) },
+		// An error ends the exchange.
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return responsehead.CheckFields(h) },
 	}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	preventReplay(req)
--- a/internal/responsehead/headtest/headtest.go
+++ b/internal/responsehead/headtest/headtest.go
@@ -14,7 +14,7 @@
 	for _, status := range []string{"000", "-00", "+20", "099", "101", "600", "999"} {
 		heads = append(heads, "HTTP/1.1 "+status+" X\r\n"+fields)
 	}
-	for _, field := range []string{"X Note: 1", "Transfer-Encoding : chunked", "X-Note\t: 1", "X\x00Note: 1", "X\x7fNote: 1"} {
+	for _, field := range []string{"X Note: 1", "Transfer-Encoding : chunked", "X-Note\t: 1", "X\x00Note: 1", "X\x7fNote: 1", ": 1", "X-Note"} {
 		for _, status := range []string{"200", "404"} {
 			heads = append(heads, "HTTP/1.1 "+status+" X\r\n"+fields+field+"\r\n")
 		}
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -26,7 +26,12 @@
 		// Requests to endpoints have no Upgrade header.
 		return fmt.Errorf("unexpected response with status %d", status)
 	}
-	for name := range resp.Header {
+	return CheckFields(resp.Header)
+}
+
+// CheckFields returns an error if the name of a field is invalid.
+func CheckFields(fields map[string][]string) error {
+	for name := range fields {
 		// net/http rejects all other bytes that a field name must not contain.
 		if strings.Contains(name, " ") {
 			return fmt.Errorf("response with the invalid field name %q", name[:min(len(name), maxQuoted)])
--- a/modules/endpoint/plain/plain_test.go
+++ b/modules/endpoint/plain/plain_test.go
@@ -247,7 +247,7 @@
 
 // Guards against a response with an invalid head that is passed on or taken for a complete one.
 func TestTroubleInvalidHead(t *testing.T) {
-	answers := headtest.Heads("Content-Length: 0\r\n")
+	answers := append(headtest.Heads("Content-Length: 0\r\n"), "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n")
 	for _, head := range headtest.Heads("Content-Length: 6\r\n") {
 		answers = append(answers, head+"\r\nanswer")
 	}
