Share the check of the tests of invalid fields

The tests of invalid names and of folded lines repeated the same loop over answers; checkInvalidFields has it now.

--- a/internal/entry/trouble_head_test.go
+++ b/internal/entry/trouble_head_test.go
@@ -31,7 +31,24 @@
 	}
 }
 
-// TestTroubleInvalidStatus guards against an answer whose status is none: it must not be delivered, and what follows its
+// invalidFields are the fields of a head that is invalid, or that follows an invalid one.
+type invalidFields struct{ before, fields, body string }
+
+// checkInvalidFields calls checkInvalidHead for each answer, after which the endpoint closes the connection.
+func checkInvalidFields(t *testing.T, answers []invalidFields) {
+	t.Helper()
+	for _, a := range answers {
+		t.Run(fmt.Sprintf("%.60q", a.before+a.fields), func(t *testing.T) {
+			t.Parallel()
+			checkInvalidHead(t, func(w net.Conn, r *http.Request) {
+				fmt.Fprintf(w, "%sHTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\n%s\r\n\r\n%s", a.before, r.Header.Get("Attempt-Id"), a.fields, a.body)
+				_ = w.Close()
+			})
+		})
+	}
+}
+
+// TestTroubleInvalidStatus guards against an answer whose status is invalid: it must not be delivered, and what follows its
 // head must not be taken for another answer.
 func TestTroubleInvalidStatus(t *testing.T) {
 	bodies := map[string]string{
@@ -75,30 +92,22 @@
 // TestTroubleInvalidFieldName guards against an answer with a field whose name is no token: other software may read that
 // as the field it resembles, so that the end of the body is uncertain.
 func TestTroubleInvalidFieldName(t *testing.T) {
-	for _, c := range []struct{ before, field, body string }{
-		{field: "Content-Length : 6", body: "answer"},
-		{field: "Transfer-Encoding : chunked", body: "6\r\nanswer\r\n0\r\n\r\n"},
-		{field: "Transfer-Encoding : chunked", body: "f\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n"},
-		{field: "X Note: 1\r\nContent-Length: 0"},
-		{field: "X-Note\t: 1\r\nContent-Length: 0"},
-		{field: "X\x00Note: 1\r\nContent-Length: 0"},
-		{field: "X\x1fNote: 1\r\nContent-Length: 0"},
-		{field: "X\x7fNote: 1\r\nContent-Length: 0"},
-		{field: "X\rNote: 1\r\nContent-Length: 0"},
-		{field: "X-N\xc3\xb6te: 1\r\nContent-Length: 0"},
-		{field: "X(Note): 1\r\nContent-Length: 0"},
-		{field: ": 1\r\nContent-Length: 0"},
-		{field: "X-Note\r\nContent-Length: 0"},
-		{before: "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n", field: "Content-Length: 0"},
-	} {
-		t.Run(fmt.Sprintf("%q", c.before+c.field), func(t *testing.T) {
-			t.Parallel()
-			checkInvalidHead(t, func(w net.Conn, r *http.Request) {
-				fmt.Fprintf(w, "%sHTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\n%s\r\n\r\n%s", c.before, r.Header.Get("Attempt-Id"), c.field, c.body)
-				_ = w.Close()
-			})
-		})
-	}
+	checkInvalidFields(t, []invalidFields{
+		{fields: "Content-Length : 6", body: "answer"},
+		{fields: "Transfer-Encoding : chunked", body: "6\r\nanswer\r\n0\r\n\r\n"},
+		{fields: "Transfer-Encoding : chunked", body: "f\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n"},
+		{fields: "X Note: 1\r\nContent-Length: 0"},
+		{fields: "X-Note\t: 1\r\nContent-Length: 0"},
+		{fields: "X\x00Note: 1\r\nContent-Length: 0"},
+		{fields: "X\x1fNote: 1\r\nContent-Length: 0"},
+		{fields: "X\x7fNote: 1\r\nContent-Length: 0"},
+		{fields: "X\rNote: 1\r\nContent-Length: 0"},
+		{fields: "X-N\xc3\xb6te: 1\r\nContent-Length: 0"},
+		{fields: "X(Note): 1\r\nContent-Length: 0"},
+		{fields: ": 1\r\nContent-Length: 0"},
+		{fields: "X-Note\r\nContent-Length: 0"},
+		{before: "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n", fields: "Content-Length: 0"},
+	})
 }
 
 // TestSoundHeads guards against rejecting answers whose heads are unusual but valid.
@@ -136,7 +145,7 @@
 // TestTroubleFoldedField guards against an answer in whose head a line begins with a blank: it continues the line before,
 // but other software may read it as a field.
 func TestTroubleFoldedField(t *testing.T) {
-	for _, c := range []struct{ before, fields, body string }{
+	checkInvalidFields(t, []invalidFields{
 		{fields: "X-Note: 1\r\n Transfer-Encoding: chunked", body: "6\r\nanswer\r\n0\r\n\r\n"},
 		{fields: "X-Note: 1\r\n\tTransfer-Encoding: chunked", body: "f\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n"},
 		{fields: "X-Note: 1\r\n Content-Length: 6", body: "answer"},
@@ -144,13 +153,5 @@
 		{fields: "X-Note: " + strings.Repeat("x", 3*4096) + "\r\n more\r\nContent-Length: 0"},
 		{fields: "Content-Length: 0\r\n \r\nX-Note: 1"},
 		{before: "HTTP/1.1 103 Early Hints\r\nX-Note: 1\r\n more\r\n\r\n", fields: "Content-Length: 0"},
-	} {
-		t.Run(fmt.Sprintf("%.60q", c.before+c.fields), func(t *testing.T) {
-			t.Parallel()
-			checkInvalidHead(t, func(w net.Conn, r *http.Request) {
-				fmt.Fprintf(w, "%sHTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\n%s\r\n\r\n%s", c.before, r.Header.Get("Attempt-Id"), c.fields, c.body)
-				_ = w.Close()
-			})
-		})
-	}
+	})
 }
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -17,7 +17,7 @@
 	return resp
 }
 
-// TestStatus guards against a status that is none, and against rejecting one that is valid.
+// TestStatus guards against an invalid status, and against rejecting one that is valid.
 func TestStatus(t *testing.T) {
 	for status, valid := range map[string]bool{
 		"000": false, "-00": false, "+20": false, "001": false, "099": false, "101": false, "600": false, "999": false,
