--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -23,7 +23,7 @@
 	case status < minStatus, status > maxStatus:
 		return fmt.Errorf("response with the invalid status %03d", status)
 	case status == http.StatusSwitchingProtocols:
-		// Requests to endpoints have no Upgrade header.
+		// It answers an Upgrade header, which is never sent.
 		return fmt.Errorf("unexpected response with status %d", status)
 	}
 	return CheckFields(resp.Header)
