--- a/review/tools-3/kit/client.go
+++ b/review/tools-3/kit/client.go
@@ -18,6 +18,8 @@
 	Method, Path, Host, Key string
 	Body                    []byte
 	Deadline                time.Duration
+	// Header has further fields.
+	Header map[string]string
 }
 
 // Answer is what a client has seen.
@@ -62,6 +64,9 @@
 	r.GetBody = nil
 	r.Header.Set("Attempt-Id", a.Attempt)
 	r.Header.Set("Deadline-Ms", strconv.FormatInt(q.Deadline.Milliseconds(), 10))
+	for name, value := range q.Header {
+		r.Header.Set(name, value)
+	}
 	if q.Key != "" {
 		r.Header.Set("Authorization", "Token "+q.Key)
 	}
