--- a/review/tools-3/cmd/bodies/main.go
+++ b/review/tools-3/cmd/bodies/main.go
@@ -43,6 +43,9 @@
 func main() { kit.Main(run) }
 
 func run(c *kit.Case) (int, error) {
+	if err := kit.NeedFiles(2*crowd + 500); err != nil {
+		return kit.Unknown, err
+	}
 	c.Region, c.MemoryMB, c.Share, c.MaxFiles = "hokkaido", memoryMB, 0.4, maxFiles
 	c.Bounds = map[string]any{"drain_ms": 2000, "grace_s": 8, "retry_budget_ratio": 0.2, "retry_slack": 52, "budget_window_s": 10}
 	c.Configure(map[string]any{
--- a/review/tools-3/cmd/directory/main.go
+++ b/review/tools-3/cmd/directory/main.go
@@ -48,6 +48,9 @@
 }
 
 func run(c *kit.Case) (int, error) {
+	if err := kit.NeedFiles(maxFiles + 500); err != nil {
+		return kit.Unknown, err
+	}
 	c.Region, c.MemoryMB, c.Share, c.MaxFiles = "almaty", memoryMB, 0.4, maxFiles
 	c.Bounds = map[string]any{"drain_ms": 2000, "grace_s": 8, "retry_budget_ratio": 0.2, "retry_slack": 56, "budget_window_s": 10}
 	c.Configure(map[string]any{
--- a/review/tools-3/kit/case.go
+++ b/review/tools-3/kit/case.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -120,3 +121,15 @@
 	}
 	c.Record.Add("runners", "have written their entries again, revision %d", c.KV.Revision())
 }
+
+// NeedFiles returns an error if the script, or a process of the system, may not open that many files.
+func NeedFiles(n uint64) error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	if limit.Max < n {
+		return fmt.Errorf("the limit of open files is %d, and %d are needed", limit.Max, n)
+	}
+	return nil
+}
