--- a/review/tools-3/kit/store.go
+++ b/review/tools-3/kit/store.go
@@ -59,6 +59,7 @@
 
 const (
 	pageItems   = 500
+	pageBytes   = 1 << 20
 	historySpan = 20 * time.Second
 	// copyInterval is the time between two copies that are kept for a restore.
 	copyInterval = 250 * time.Millisecond
@@ -286,8 +287,12 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
-	more := len(items) > pageItems
-	WriteJSON(w, map[string]any{"items": items[:min(len(items), pageItems)], "has_more": more, "as_of": s.revision})
+	n, size := 0, 0
+	for n < min(len(items), pageItems) && (n == 0 || size+len(items[n].Value) <= pageBytes) {
+		size += len(items[n].Value)
+		n++
+	}
+	WriteJSON(w, map[string]any{"items": items[:n], "has_more": n < len(items), "as_of": s.revision})
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
