review 14: a usage window is reported twice with different counts

Claim: after a return of the store from a copy, a machine that was restarted as planned before it decides anew on a usage window that was accepted, without the counts of its former process (rule ONE). Shown by review/14/run.sh.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,5 +4,5 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-[ -x "$root/target/review-3/foreign" ] && [ -x "$root/target/chivewind" ] || { echo "run the build of deploy/system.toml and review/build-3.sh first"; exit 2; }
-exec "$root/target/review-3/foreign" "$root" "$here"
+[ -x "$root/target/review-3/usage" ] && [ -x "$root/target/chivewind" ] || { echo "run the build of deploy/system.toml and review/build-3.sh first"; exit 2; }
+exec "$root/target/review-3/usage" "$root" "$here"
