--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,4 +1,4 @@
-#!/usr/bin/env bash
+#!/bin/sh
 # Exits with 1 if the rule of claim.txt was broken, 0 if it held and 2 if the case could not run. TROUBLE=0 leaves out the
 # disruption. review/build-3.sh and the build of the deploy file come first.
 set -u
