fleet: follow a store that comes back from an older copy

Relays listed the store over 1,000 times in the second after the return.

Cause: the state takes revisions as growing for ever, and nothing read Store-Era. What the copy holds, and what the operator wrote after the return, had lower revisions than those recorded and was ignored as old.

The listings are answered and applied without effect. TestStoreFromOlderCopy fails on ("daemon-0 has not received table version 3 within 8s").

Change: the era, taken from the reply, is part of every revision, so that whatever orders revisions orders pairs of era and number, also between daemons. All that the copy holds is then newer by its revision. Between eras the state therefore decides by content: by the version of a routing table, and by the start time and report number of an endpoint. A watch that is answered in another era ends like one of compacted revisions. Missing endpoints stay in use as after an outage.

--- a/cli/where.go
+++ b/cli/where.go
@@ -121,7 +121,7 @@
 	if s.Daemons > 1 {
 		reports = fmt.Sprintf("reports of %d of %d other daemons, three quarters of them at most %d ms old", s.Reporting, s.Daemons-1, s.ReportsMs)
 	}
-	t.row("relies on", fmt.Sprintf("table %d, store revision %d%s, last reply of the store %d ms ago, %s", s.TableVersion, s.StoreRevision, behind(s.Behind), s.StoreReplyMs, reports))
+	t.row("relies on", fmt.Sprintf("table %d, store revision %s%s, last reply of the store %d ms ago, %s", s.TableVersion, s.StoreRevision, behind(s.Behind), s.StoreReplyMs, reports))
 	printWhereEndpoints(t, a)
 }
 
--- a/internal/entry/stats.go
+++ b/internal/entry/stats.go
@@ -8,6 +8,7 @@
 
 	"github.com/chivewind/chivewind/internal/fleet"
 	"github.com/chivewind/chivewind/internal/promtext"
+	"github.com/chivewind/chivewind/platform"
 )
 
 // stats holds the metrics of the request path. docs/metrics.md lists them.
@@ -15,6 +16,7 @@
 	registry metrics.Registry
 	version  metrics.Gauge
 	revision metrics.Gauge
+	era      metrics.Gauge
 	ready    metrics.Gauge
 	active   metrics.Gauge
 	// paced is the number of endpoints with a limit on their requests in progress.
@@ -26,6 +28,7 @@
 		registry: r,
 		version:  metrics.GetOrRegisterGauge("chivewind_entry_table_version", r),
 		revision: metrics.GetOrRegisterGauge("chivewind_entry_store_revision", r),
+		era:      metrics.GetOrRegisterGauge("chivewind_entry_store_era", r),
 		ready:    metrics.GetOrRegisterGauge("chivewind_entry_endpoints_ready", r),
 		active:   metrics.GetOrRegisterGauge("chivewind_entry_requests_in_progress", r),
 		paced:    metrics.GetOrRegisterGauge("chivewind_entry_endpoints_paced", r),
@@ -34,7 +37,8 @@
 
 // updateView sets the gauges that describe the configuration in force.
 func (s *stats) updateView(v *fleet.View) {
-	s.revision.Update(v.Revision)
+	s.revision.Update(platform.NumberOf(v.Revision))
+	s.era.Update(platform.EraOf(v.Revision))
 	if v.Table != nil {
 		s.version.Update(v.Table.Version)
 	}
--- a/internal/entry/where.go
+++ b/internal/entry/where.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/chivewind/chivewind/internal/placement"
+	"github.com/chivewind/chivewind/platform"
 	"github.com/chivewind/chivewind/traffic"
 )
 
@@ -88,8 +89,9 @@
 
 // WhereSources says how old the data are on which an answer relies.
 type WhereSources struct {
-	TableVersion  int64 `json:"table_version"`
-	StoreRevision int64 `json:"store_revision"`
+	TableVersion int64 `json:"table_version"`
+	// StoreRevision is the revision up to which the view is complete, see platform.FormatRevision.
+	StoreRevision string `json:"store_revision"`
 	// Behind is set if another daemon has a newer revision.
 	Behind       bool  `json:"behind"`
 	StoreReplyMs int64 `json:"store_reply_ms"`
@@ -107,7 +109,7 @@
 	view := s.fleet.View()
 	self, _ := s.fleet.Self()
 	a := WhereAnswer{Daemon: self.Daemon, Zone: s.opts.Zone, Sources: WhereSources{
-		StoreRevision: view.Revision, Behind: s.fleet.Behind(), StoreReplyMs: s.fleet.TimeSinceStoreReply().Milliseconds(), Daemons: s.fleet.Size(),
+		StoreRevision: platform.FormatRevision(view.Revision), Behind: s.fleet.Behind(), StoreReplyMs: s.fleet.TimeSinceStoreReply().Milliseconds(), Daemons: s.fleet.Size(),
 	}}
 	if view.Table == nil {
 		a.refuse(notRun(NoTable, startRetryAfter))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -236,14 +236,13 @@
 	defer f.publishMu.Unlock()
 	now := time.Now()
 	f.mu.Lock()
-	revision, tableRevision := f.state.Revision(), f.state.TableRevision()
+	revision, tableRevision, era := f.state.Revision(), f.state.TableRevision(), f.state.era
 	changed := update(now, f.state)
 	var view *View
 	if changed {
 		view = f.state.View(now)
-		// The view changes without a further update when a grace period ends.
-		if graceEnd := f.state.NextGraceEnd(now); !graceEnd.IsZero() {
-			time.AfterFunc(graceEnd.Sub(now), func() { f.updateState(func(time.Time, *State) bool { return true }) })
+		if next := f.state.NextViewChange(now); !next.IsZero() {
+			time.AfterFunc(next.Sub(now), func() { f.updateState(func(time.Time, *State) bool { return true }) })
 		}
 	}
 	// Under the same lock as the update, so that no report carries the new revision without the entries.
@@ -252,7 +251,11 @@
 		f.addRecentChange(now, revision, tableRevision)
 	}
 	announce := advanced && f.members.MustWatch(now, watcherMaxAge)
+	newEra := f.state.era
 	f.mu.Unlock()
+	if newEra > era && revision > 0 {
+		f.recordEra(era, newEra)
+	}
 	if view != nil {
 		f.logViewChange(f.view.Load(), view)
 		f.view.Store(view)
@@ -263,19 +266,25 @@
 	}
 }
 
+// recordEra records that the store has come back from an older copy.
+func (f *Fleet) recordEra(before, era int64) {
+	f.incCounter("chivewind_store_era_changes_total")
+	f.opts.Log.Warn("the store has come back from an older copy", "era", era, "before", before)
+}
+
 // logViewChange logs a new routing table and endpoints that were added, removed or changed state.
 func (f *Fleet) logViewChange(previous, current *View) {
 	if current.Table != previous.Table {
-		f.opts.Log.Info("routing table in force", "version", current.Table.Version, "revision", current.Revision)
+		f.opts.Log.Info("routing table in force", "version", current.Table.Version, "revision", platform.FormatRevision(current.Revision))
 	}
 	for id, e := range current.Endpoints {
 		if before, ok := previous.Endpoints[id]; !ok || before.State != e.State {
-			f.opts.Log.Info("endpoint known", "endpoint", id, "pool", e.Pool, "address", e.Address, "draining", e.State != 0, "revision", current.Revision)
+			f.opts.Log.Info("endpoint known", "endpoint", id, "pool", e.Pool, "address", e.Address, "draining", e.State != 0, "revision", platform.FormatRevision(current.Revision))
 		}
 	}
 	for id := range previous.Endpoints {
 		if _, ok := current.Endpoints[id]; !ok {
-			f.opts.Log.Info("endpoint gone", "endpoint", id, "revision", current.Revision)
+			f.opts.Log.Info("endpoint gone", "endpoint", id, "revision", platform.FormatRevision(current.Revision))
 		}
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -143,3 +143,77 @@
 		b.awaitVersion(t, int64(version+2))
 	}
 }
+
+// TestStoreFromOlderCopy guards against daemons that go on with the revisions of the time before the store came back from an
+// older copy: they took no new routing table, listed the store without a pause, and could bring an old table into force.
+func TestStoreFromOlderCopy(t *testing.T) {
+	const daemons, endpoints = 5, 4
+	store := standin.New()
+	defer store.Close()
+	register := func() {
+		for i := range endpoints {
+			store.Put(fmt.Sprint("e/", i), []byte("p"))
+		}
+	}
+	store.Put("table", []byte("1"))
+	var all []*daemon
+	for i := range daemons {
+		var seeds []string
+		if i > 0 {
+			seeds = []string{all[0].self.ControlAddress}
+		}
+		d := startDaemon(t, fmt.Sprint("daemon-", i), store.Address(), seeds...)
+		d.awaitVersion(t, 1)
+		all = append(all, d)
+	}
+	for era := range 3 {
+		before := int64(10*era + 2)
+		older := store.Snapshot()
+		register()
+		// The revisions before the return are well above those after it.
+		for range 50 {
+			store.Put("other", nil)
+		}
+		store.Put("table", fmt.Append(nil, before))
+		for _, d := range all {
+			d.awaitVersion(t, before)
+			d.awaitEndpoints(t, endpoints)
+			d.clearViews()
+		}
+		listings := store.Calls("kv-range")
+		store.Restore(older)
+		time.Sleep(300 * time.Millisecond)
+		register()
+		store.Put("table", fmt.Append(nil, before))
+		store.Put("table", fmt.Append(nil, before+1))
+		for _, d := range all {
+			d.awaitVersion(t, before+1)
+			for len(d.views) > 0 {
+				if v := <-d.views; v.Table.Version < before || len(v.Endpoints) != endpoints {
+					t.Errorf("%s: version %d and %d endpoints after the return, want at least %d and %d", d.self.Daemon, v.Table.Version, len(v.Endpoints), before, endpoints)
+				}
+			}
+		}
+		// A listing of few keys takes several calls.
+		if n := store.Calls("kv-range") - listings; n > 20*daemons {
+			t.Errorf("%d calls to list the store after its return", n)
+		}
+	}
+}
+
+// awaitEndpoints waits for a view with n endpoints.
+func (d *daemon) awaitEndpoints(t *testing.T, n int) {
+	t.Helper()
+	for deadline := time.Now().Add(viewTimeout); len(d.View().Endpoints) != n; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: endpoints %v, want %d", d.self.Daemon, d.View().Endpoints, n)
+		}
+	}
+}
+
+// clearViews discards the views so far.
+func (d *daemon) clearViews() {
+	for len(d.views) > 0 {
+		<-d.views
+	}
+}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -181,16 +182,22 @@
 	return nil
 }
 
-// readAll reads all keys. The pages are not one snapshot; all changes up to the returned revision are in them. For a
-// stale listing, that revision is taken from the newest key of each page, because a store may state its current
+// readAll reads all keys. The pages are not one snapshot, but of one era; all changes up to the returned revision are in them.
+// For a stale listing, that revision is taken from the newest key of each page, because a store may state its current
 // revision with a stale page.
 func (f *Fleet) readAll(ctx context.Context, stale bool) (all []platform.KeyValue, revision int64, err error) {
 	request := platform.RangeRequest{Prefix: true, Stale: stale}
+	era := int64(0)
 	for first := true; ; first = false {
 		page, err := f.opts.KV.Range(ctx, request)
 		if err != nil {
 			return nil, 0, err
 		}
+		if first {
+			era = platform.EraOf(page.Revision)
+		} else if platform.EraOf(page.Revision) != era {
+			return nil, 0, fmt.Errorf("%w: the store came back from an older copy during a listing", platform.ErrUnavailable)
+		}
 		pageRevision := page.Revision
 		if stale {
 			pageRevision = min(pageRevision, newestRevision(page.KVs))
--- a/internal/fleet/tablechange.go
+++ b/internal/fleet/tablechange.go
@@ -50,7 +50,7 @@
 		return false, false
 	}
 	old := s.records[e.Key]
-	if old != nil && e.Revision <= old.revision {
+	if old != nil && e.Revision <= old.revision && sameEra(e.Revision, old.revision) {
 		return false, true
 	}
 	if old == nil || old.revision != e.Base {
@@ -82,10 +82,11 @@
 }
 
 // tableSince returns the patches that turn the routing table at a revision into the current one, or the complete table
-// if that revision is unknown or the patches are larger.
+// if that revision is unknown or the patches are larger. A table of an earlier era than that revision is complete, too: the
+// receiver may have an older one, from a copy of the store.
 func (s *State) tableSince(revision int64) []Entry {
 	r := s.records[s.codec.TableKey]
-	if r == nil || r.revision <= revision {
+	if r == nil || (r.revision <= revision && sameEra(r.revision, revision)) {
 		return nil
 	}
 	var entries []Entry
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -3,7 +3,8 @@
 //
 // A few daemons watch the store for the fleet. Daemons include their newest revision in their reports, so that a
 // daemon that does not watch, or whose watch is silent or refused by the store, gets the state from a peer.
-// The revision of a key only increases: a replaced routing table never comes back into force.
+// The revision of a key only increases: a replaced routing table never comes back into force, also if the store comes back
+// from an older copy, see era.go.
 package fleet
 
 import (
@@ -50,6 +51,10 @@
 	// inGrace is set if this daemon learned of the removal shortly after an outage of the store, in which the
 	// lease may have expired. The endpoint then stays in use for the grace period, because it may register again.
 	inGrace bool
+	// last is the endpoint of a removed key; nil if it is not known.
+	last *traffic.Endpoint
+	// usableFrom is when an endpoint may be used whose removal has been undone by an older copy of the store.
+	usableFrom time.Time
 }
 
 // State holds the replicated keys of the store. It does no I/O and reads no clock. It is not safe for concurrent
@@ -63,6 +68,8 @@
 	// removalsSince is the revision after which the state has a record of each removal up to revision. A state that
 	// begins with a listing has none of those before.
 	removalsSince int64
+	// era is the newest era of the store that is known.
+	era int64
 	// digest is the XOR of the digests of the keys that are present.
 	digest uint64
 	// tableChanges are the latest changes of the routing table, oldest first and without gaps.
@@ -147,17 +154,19 @@
 func (s *State) StoreRecovered(now time.Time) { s.recoveryGraceUntil = now.Add(s.gracePeriod) }
 
 // Apply records the state of a key at a revision and reports whether the state changed. A nil value means that the
-// key was removed. Revisions that are not newer than the recorded one are ignored. So is a change of an endpoint that
-// has no record although the state is complete up to the change: the endpoint has been removed since.
+// key was removed. Revisions that are not newer than the recorded one are ignored, except that replacesTable decides between
+// routing tables of different eras. So is a change of an endpoint that has no record although the state is complete up to the
+// change: the endpoint has been removed since.
 func (s *State) Apply(now time.Time, key string, revision int64, value []byte) bool {
-	old := s.records[key]
-	if !s.relevant(key) || (old != nil && revision <= old.revision) {
+	if !s.relevant(key) {
 		return false
 	}
+	s.enterEra(now, revision)
 	if key == s.codec.TableKey {
 		return s.applyTable(revision, value)
 	}
-	if old == nil && revision <= s.revision {
+	old := s.records[key]
+	if (old != nil && revision <= old.revision) || (old == nil && revision <= s.revision) {
 		return false
 	}
 	s.applyEndpoint(now, key, revision, value, old)
@@ -168,9 +177,10 @@
 	return key == s.codec.TableKey || strings.HasPrefix(key, s.codec.EndpointPrefix)
 }
 
-// applyTable replaces the routing table. A malformed table and a removal are ignored.
+// applyTable replaces the routing table if the given one is newer. A malformed table and a removal are ignored.
 func (s *State) applyTable(revision int64, value []byte) bool {
-	if value == nil {
+	old := s.records[s.codec.TableKey]
+	if value == nil || (old != nil && revision <= old.revision && sameEra(revision, old.revision)) {
 		return false
 	}
 	table, err := s.codec.DecodeTable(value)
@@ -178,6 +188,9 @@
 		s.onRejected(s.codec.TableKey, err)
 		return false
 	}
+	if !s.replacesTable(revision, table) {
+		return false
+	}
 	s.setRecord(s.codec.TableKey, &record{revision: revision, value: value})
 	s.table = table
 	return true
@@ -186,8 +199,8 @@
 func (s *State) applyEndpoint(now time.Time, key string, revision int64, value []byte, old *record) {
 	r := &record{revision: revision, value: value}
 	if value == nil {
-		r.removedAt = now
-		if old != nil && old.endpoint != nil && old.endpoint.State == traffic.EndpointReady && now.Before(s.recoveryGraceUntil) {
+		r.removedAt, r.last = now, old.lastEndpoint()
+		if old.inUse(now) && old.endpoint.State == traffic.EndpointReady && now.Before(s.recoveryGraceUntil) {
 			r.endpoint, r.inGrace = old.endpoint, true
 		}
 		s.setRecord(key, r)
@@ -198,6 +211,7 @@
 		s.onRejected(key, err)
 	} else {
 		r.endpoint = &e
+		r.keepNewer(now, old)
 	}
 	s.setRecord(key, r)
 }
@@ -205,6 +219,7 @@
 // ApplyListing applies a complete listing of the store as of listRevision and reports whether the state changed.
 // Endpoints that are not in the listing and have not changed since listRevision are treated as removed.
 func (s *State) ApplyListing(now time.Time, listRevision int64, listed []platform.KeyValue) bool {
+	s.enterEra(now, listRevision)
 	changed := false
 	present := make(map[string]bool, len(listed))
 	for _, kv := range listed {
@@ -247,6 +262,7 @@
 
 // ApplyPeerState applies the state of another daemon, and reports whether this one changed.
 func (s *State) ApplyPeerState(now time.Time, p *PeerState) bool {
+	s.enterEra(now, p.Revision)
 	changed, complete := false, true
 	present := make(map[string]bool, len(p.Entries))
 	for _, e := range p.Entries {
@@ -314,13 +330,20 @@
 	return append(entries, s.tableSince(tableRevision)...)
 }
 
-// NextGraceEnd returns the earliest time after now at which a grace period ends, or the zero time if there is none.
-func (s *State) NextGraceEnd(now time.Time) time.Time {
+// NextViewChange returns the earliest time after now at which the view changes without an update of the state, because a
+// grace period ends or an endpoint becomes usable. It returns the zero time if there is none.
+func (s *State) NextViewChange(now time.Time) time.Time {
 	var next time.Time
+	note := func(at time.Time) {
+		if at.After(now) && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
 	for _, r := range s.records {
-		if end := r.removedAt.Add(s.gracePeriod); r.inGrace && end.After(now) && (next.IsZero() || end.Before(next)) {
-			next = end
+		if r.inGrace {
+			note(r.removedAt.Add(s.gracePeriod))
 		}
+		note(r.usableFrom)
 	}
 	return next
 }
@@ -329,7 +352,7 @@
 func (s *State) View(now time.Time) *View {
 	v := &View{Revision: s.revision, Table: s.table, Endpoints: map[string]traffic.Endpoint{}, ByPool: map[string][]traffic.Endpoint{}}
 	for _, r := range s.records {
-		if r.endpoint == nil || (r.inGrace && now.Sub(r.removedAt) >= s.gracePeriod) {
+		if !r.inUse(now) || (r.inGrace && now.Sub(r.removedAt) >= s.gracePeriod) {
 			continue
 		}
 		e := *r.endpoint
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -163,6 +163,8 @@
 	State EndpointState
 	// StartedAtMs is the start time of the incarnation in Unix milliseconds; zero if unknown.
 	StartedAtMs int64
+	// Sequence increases with each report of the incarnation about itself; zero if unknown.
+	Sequence int64
 	// Spot is set if the platform may reclaim the endpoint at any time, together with all other spot endpoints of its
 	// availability zone.
 	Spot bool
