lease, duty: fence roles across eras of the store

A receiver that checks the token would reject its reports, and accept late ones of the former holder.

Cause: the token is the revision at which the role's key was created, and the store gives revisions out again.

--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -28,6 +28,9 @@
 	releaseTimeout = time.Second
 )
 
+// errNewEra means that the role was not acquired because the store has just come back from an older copy.
+var errNewEra = errors.New("duty: the store has come back from an older copy")
+
 // Options configures a Runner.
 type Options struct {
 	KV platform.KV
@@ -40,9 +43,11 @@
 	// ProbeInterval returns the time between two attempts to acquire the role; nil means defaultProbeInterval. Each one
 	// reads one key while another daemon holds the role. The first attempt is made this time after the start.
 	ProbeInterval func() time.Duration
-	Tasks         []Task
-	Log           hclog.Logger
-	Metrics       metrics.Registry
+	// StoreEra returns the newest era of the store that this daemon knows, see platform.RevisionInEra; nil means 0.
+	StoreEra func() int64
+	Tasks    []Task
+	Log      hclog.Logger
+	Metrics  metrics.Registry
 }
 
 // Runner acquires and holds the role while this daemon is eligible, and runs the tasks while it is held.
@@ -51,8 +56,10 @@
 	session *lease.Session
 	limiter *rate.Limiter
 
-	// quietUntil is the time before which the role is not acquired. Only Run uses it.
+	// quietUntil is the time before which the role is not acquired, and era the newest era of the store that is known. Only
+	// Run uses them.
 	quietUntil time.Time
+	era        int64
 
 	mu      sync.Mutex
 	current *term
@@ -63,6 +70,9 @@
 	if o.ProbeInterval == nil {
 		o.ProbeInterval = func() time.Duration { return defaultProbeInterval }
 	}
+	if o.StoreEra == nil {
+		o.StoreEra = func() int64 { return 0 }
+	}
 	return &Runner{o: o, session: lease.New(o.KV, o.Daemon, o.Lease, o.Log), limiter: rate.NewLimiter(callsPerSecond, 1)}
 }
 
@@ -88,6 +98,7 @@
 	// the two would alternate within a lease.
 	r.startQuietPeriod()
 	for probedAt := time.Now(); sleep(ctx, checkInterval); {
+		r.noteEra(r.o.StoreEra())
 		if now := time.Now(); !r.o.Eligible() || now.Before(r.quietUntil) || now.Sub(probedAt) < r.o.ProbeInterval() {
 			continue
 		}
@@ -112,16 +123,34 @@
 // period is longer than the lease because the clocks of daemons may run at different rates.
 func (r *Runner) startQuietPeriod() { r.quietUntil = time.Now().Add(r.o.Lease + r.o.Lease/5) }
 
+// noteEra starts a quiet period if the store has reached a new era, and reports whether it has. The store may have lost the key
+// of a holder that has not noticed it yet and acts until the end of its lease.
+func (r *Runner) noteEra(era int64) bool {
+	if era <= r.era {
+		return false
+	}
+	r.era = era
+	r.startQuietPeriod()
+	return true
+}
+
 // acquire acquires the role. It reads the role's key first, which is cheaper than a lease that is not used.
 func (r *Runner) acquire(ctx context.Context) (*lease.HeldRole, error) {
 	reply, err := r.o.KV.Range(ctx, platform.RangeRequest{Key: lease.Key(role)})
 	if err != nil {
 		return nil, err
 	}
+	if r.noteEra(platform.EraOf(reply.Revision)) {
+		return nil, errNewEra
+	}
 	if len(reply.KVs) > 0 {
 		return nil, lease.ErrHeld
 	}
-	return r.session.Acquire(ctx, role)
+	held, err := r.session.Acquire(ctx, role)
+	if err == nil && r.noteEra(platform.EraOf(held.Token())) {
+		return nil, errors.Join(errNewEra, held.Release(ctx))
+	}
+	return held, err
 }
 
 func (r *Runner) noteFailure(err error) {
--- a/internal/duty/runner_test.go
+++ b/internal/duty/runner_test.go
@@ -336,3 +336,64 @@
 		}
 	})
 }
+
+// TestDutReturnFromOlderCopy guards against two daemons that act at a time after the store has come back from a copy without
+// the key of the holder, which goes on until it fails to renew its lease, and against lower tokens.
+func TestDutReturnFromOlderCopy(t *testing.T) {
+	for _, c := range []struct {
+		desc string
+		// copyAt is when the copy is taken, after the start of the daemons, and away how long the store does not reply.
+		copyAt, away time.Duration
+		// handover makes another daemon the holder after the copy was taken.
+		handover bool
+	}{
+		{desc: "the copy is from before the first holder", away: time.Second},
+		{desc: "the store is not away", away: 0},
+		{desc: "the copy has the key of the holder", copyAt: 3 * quietTime, away: time.Second},
+		{desc: "the copy has the key of an earlier holder", copyAt: 3 * quietTime, away: 500 * time.Millisecond, handover: true},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, plane := kv.NewStore(), &controlPlane{t: t}
+				var daemons []*daemon
+				for _, name := range []string{"a", "b", "c"} {
+					daemons = append(daemons, startDaemon(t, store, plane, name))
+				}
+				time.Sleep(c.copyAt)
+				older := store.Snapshot()
+				time.Sleep(2 * quietTime)
+				if c.handover {
+					for _, d := range daemons {
+						d.eligible.Store(!d.Holds())
+					}
+					time.Sleep(takeoverTime)
+				}
+				for _, d := range daemons {
+					d.client.SetDown(c.away > 0)
+					d.eligible.Store(true)
+				}
+				time.Sleep(c.away)
+				store.Restore(older)
+				back := time.Now()
+				for _, d := range daemons {
+					d.client.SetDown(false)
+				}
+				for time.Since(back) < takeoverTime+quietTime {
+					time.Sleep(5 * time.Millisecond)
+					var holders []string
+					for _, d := range daemons {
+						if d.Holds() {
+							holders = append(holders, d.o.Daemon)
+						}
+					}
+					if len(holders) > 1 {
+						t.Fatalf("%s after the return: %v hold the role", time.Since(back), holders)
+					}
+				}
+				if len(plane.since(time.Now().Add(-time.Second))) != 1 {
+					t.Errorf("nobody acts %s after the return", time.Since(back))
+				}
+			})
+		})
+	}
+}
--- a/internal/entrynode/duties.go
+++ b/internal/entrynode/duties.go
@@ -116,6 +116,7 @@
 			candidates, _ := n.fleet.DutyCandidates(minAge)
 			return c.probeInterval(time.Now(), candidates)
 		},
+		StoreEra: func() int64 { return platform.EraOf(n.fleet.View().Revision) },
 	})
 	return d, nil
 }
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -297,11 +297,11 @@
 			pause = f.register(ctx, &lease)
 		} else {
 			// The lease of a former registrant ends by itself.
-			lease = 0
+			lease = platform.LeaseID{}
 		}
 		sleepContext(ctx, pause)
 	}
-	if lease != 0 {
+	if lease != (platform.LeaseID{}) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxRetryDelay)
 		defer cancel()
 		if err := f.opts.KV.Revoke(ctx, lease); err != nil {
@@ -319,12 +319,12 @@
 // register renews the lease of this daemon's key, or writes the key under a new lease if there is none. It returns the
 // time until the next renewal or attempt.
 func (f *Fleet) register(ctx context.Context, lease *platform.LeaseID) time.Duration {
-	if *lease != 0 {
+	if *lease != (platform.LeaseID{}) {
 		if _, err := f.opts.KV.KeepAlive(ctx, *lease); errors.Is(err, platform.ErrLeaseNotFound) {
-			*lease = 0
+			*lease = platform.LeaseID{}
 		}
 	}
-	if *lease == 0 {
+	if *lease == (platform.LeaseID{}) {
 		var err error
 		if *lease, err = f.writeOwnKey(ctx); err != nil {
 			f.opts.Log.Debug("daemon key could not be written", "error", err)
@@ -337,15 +337,15 @@
 func (f *Fleet) writeOwnKey(ctx context.Context) (platform.LeaseID, error) {
 	value, err := proto.Marshal(f.opts.Self)
 	if err != nil {
-		return 0, err
+		return platform.LeaseID{}, err
 	}
 	lease, err := f.opts.KV.Grant(ctx, max(leaseTTL, f.opts.MinLeaseTTL))
 	if err != nil {
-		return 0, err
+		return platform.LeaseID{}, err
 	}
 	put := platform.Op{Key: f.opts.Codec.DaemonPrefix + f.opts.Self.Daemon, Value: value, Lease: lease}
 	if _, err := f.opts.KV.Txn(ctx, platform.Txn{Then: []platform.Op{put}}); err != nil {
-		return 0, err
+		return platform.LeaseID{}, err
 	}
 	return lease, nil
 }
--- a/internal/fleet/simstore_test.go
+++ b/internal/fleet/simstore_test.go
@@ -243,7 +243,7 @@
 }
 
 func (k *simKV) Grant(ctx context.Context, _ time.Duration) (platform.LeaseID, error) {
-	return 1, k.call(ctx)
+	return platform.LeaseID{Number: 1}, k.call(ctx)
 }
 
 func (k *simKV) KeepAlive(ctx context.Context, _ platform.LeaseID) (time.Duration, error) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -2,7 +2,8 @@
 //
 // A Session is one lease of the key-value store that all roles of a daemon share. A HeldRole is one
 // role held under it: a key attached to the lease, which the store deletes when the lease ends. The
-// key's creation revision is the fencing token; it increases with each new holder. The session's
+// key's creation revision is the fencing token; it increases with each new holder, also when the store has come back from an
+// older copy, because a revision contains the store's era. The session's
 // mutex guards the state of all its roles and is not held during calls to the store.
 package lease
 
@@ -78,7 +79,7 @@
 		kv: kv, daemonID: daemonID, ttl: ttl, log: log,
 		grantSem: make(chan struct{}, 1), renewNow: make(chan struct{}, 1),
 	}
-	s.reset(0)
+	s.reset(platform.LeaseID{})
 	return s
 }
 
@@ -105,7 +106,7 @@
 	s.mu.Lock()
 	id, held := s.id, s.heldCount()
 	s.mu.Unlock()
-	if id == 0 || held == 0 {
+	if id == (platform.LeaseID{}) || held == 0 {
 		return nil
 	}
 	start := time.Now()
@@ -139,7 +140,7 @@
 		return
 	}
 	s.log.Warn("lease lost", "holder", s.daemonID, "roles", s.heldCount())
-	s.reset(0)
+	s.reset(platform.LeaseID{})
 }
 
 // heldCount returns the number of held roles. A pending acquisition does not count, so that the lease
@@ -162,7 +163,7 @@
 // leaseValid reports whether the lease id is valid at time now. Wall and monotonic time are both
 // checked, because the monotonic clock may stop while the VM is suspended. s.mu is held.
 func (s *Session) leaseValid(id platform.LeaseID, now time.Time) bool {
-	return id != 0 && s.id == id && now.Sub(s.validFrom) < s.validFor &&
+	return id != (platform.LeaseID{}) && s.id == id && now.Sub(s.validFrom) < s.validFor &&
 		now.Round(0).Sub(s.validFrom.Round(0)) < s.validFor
 }
 
@@ -172,7 +173,7 @@
 	case s.grantSem <- struct{}{}:
 		defer func() { <-s.grantSem }()
 	case <-ctx.Done():
-		return 0, ctx.Err()
+		return platform.LeaseID{}, ctx.Err()
 	}
 	s.mu.Lock()
 	id, valid, held := s.id, s.leaseValid(s.id, time.Now()), s.heldCount()
@@ -180,15 +181,15 @@
 	if valid {
 		return id, nil
 	}
-	if id != 0 && held > 0 {
+	if id != (platform.LeaseID{}) && held > 0 {
 		// The lease may still exist in the store; the renewal in Run finds out.
 		s.wakeRun()
-		return 0, ErrLost
+		return platform.LeaseID{}, ErrLost
 	}
 	start := time.Now()
 	id, err := s.kv.Grant(ctx, s.ttl)
 	if err != nil {
-		return 0, err
+		return platform.LeaseID{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -307,9 +308,9 @@
 func (s *Session) Close(ctx context.Context) error {
 	s.mu.Lock()
 	id := s.id
-	s.reset(0)
+	s.reset(platform.LeaseID{})
 	s.mu.Unlock()
-	if id == 0 {
+	if id == (platform.LeaseID{}) {
 		return nil
 	}
 	err := s.kv.Revoke(ctx, id)
--- a/internal/standin/kv/convert.go
+++ b/internal/standin/kv/convert.go
@@ -50,7 +50,7 @@
 func keyValue(kv platform.KeyValue) *etcdjson.KeyValue {
 	return &etcdjson.KeyValue{
 		Key: []byte(kv.Key), Value: kv.Value, CreateRevision: kv.CreateRevision,
-		ModRevision: kv.ModRevision, Version: kv.Version, Lease: int64(kv.Lease),
+		ModRevision: kv.ModRevision, Version: kv.Version, Lease: kv.Lease.Number,
 	}
 }
 
@@ -91,7 +91,7 @@
 		case op.Delete != nil:
 			out = append(out, platform.Op{Delete: true, Key: string(op.Delete.Key)})
 		case op.Put != nil:
-			out = append(out, platform.Op{Key: string(op.Put.Key), Value: op.Put.Value, Lease: platform.LeaseID(op.Put.Lease)})
+			out = append(out, platform.Op{Key: string(op.Put.Key), Value: op.Put.Value, Lease: platform.LeaseID{Number: op.Put.Lease}})
 		}
 	}
 	return out
@@ -123,19 +123,19 @@
 
 func (v *Server) grant(in *etcdjson.LeaseGrantRequest) (*etcdjson.LeaseReply, error) {
 	id := v.store.Grant(time.Duration(in.TTLSeconds) * time.Second)
-	return &etcdjson.LeaseReply{Header: header(v.store.Revision()), ID: int64(id), TTLSeconds: in.TTLSeconds}, nil
+	return &etcdjson.LeaseReply{Header: header(v.store.Revision()), ID: id.Number, TTLSeconds: in.TTLSeconds}, nil
 }
 
 // keepAlive returns a TTL of 0 for a lease that does not exist, as the etcd API does.
 func (v *Server) keepAlive(in *etcdjson.LeaseRequest) (*etcdjson.KeepAliveReply, error) {
-	ttl, _ := v.store.KeepAlive(platform.LeaseID(in.ID))
+	ttl, _ := v.store.KeepAlive(platform.LeaseID{Number: in.ID})
 	return &etcdjson.KeepAliveReply{Result: &etcdjson.LeaseReply{
 		Header: header(v.store.Revision()), ID: in.ID, TTLSeconds: int64(ttl / time.Second),
 	}}, nil
 }
 
 func (v *Server) revoke(in *etcdjson.LeaseRequest) (*etcdjson.Empty, error) {
-	return &etcdjson.Empty{}, v.store.Revoke(platform.LeaseID(in.ID))
+	return &etcdjson.Empty{}, v.store.Revoke(platform.LeaseID{Number: in.ID})
 }
 
 func watchResult(r platform.WatchReply) *etcdjson.WatchResult {
--- a/internal/standin/kv/store.go
+++ b/internal/standin/kv/store.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -40,10 +41,12 @@
 
 // Store is an in-memory key-value store with leases and a change history. It is safe for concurrent use.
 type Store struct {
-	mu        sync.Mutex
+	mu sync.Mutex
+	// era is that of revision. It counts the calls of Restore.
+	era       int64
 	revision  int64
 	compacted int64
-	nextLease platform.LeaseID
+	nextLease int64
 	keys      map[string]platform.KeyValue
 	leases    map[platform.LeaseID]*lease
 	// history contains all changes after the compacted revision, one entry per revision.
@@ -85,6 +88,52 @@
 	}
 }
 
+// Snapshot is a copy of a store, without its history.
+type Snapshot struct {
+	revision, nextLease int64
+	keys                map[string]platform.KeyValue
+	leases              map[platform.LeaseID]time.Duration
+}
+
+// Snapshot returns a copy of the store.
+func (s *Store) Snapshot() *Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &Snapshot{revision: s.revision, nextLease: s.nextLease, keys: maps.Clone(s.keys), leases: map[platform.LeaseID]time.Duration{}}
+	for id, l := range s.leases {
+		c.leases[id] = l.ttl
+	}
+	return c
+}
+
+// Restore replaces the store by an older copy of it and begins a new era, see platform.RevisionInEra. The leases of the copy
+// start anew; their numbers, like those of revisions, are given out again. Watches end.
+func (s *Store) Restore(c *Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.leases {
+		l.timer.Stop()
+	}
+	s.era++
+	inEra := func(revision int64) int64 { return platform.RevisionInEra(s.era, platform.NumberOf(revision)) }
+	s.revision, s.nextLease, s.history = inEra(c.revision), c.nextLease, nil
+	s.compacted = s.revision
+	s.keys, s.leases = map[string]platform.KeyValue{}, map[platform.LeaseID]*lease{}
+	for id, ttl := range c.leases {
+		s.addLease(platform.LeaseID{Era: s.era, Number: id.Number}, ttl)
+	}
+	for key, kv := range c.keys {
+		kv.CreateRevision, kv.ModRevision = inEra(kv.CreateRevision), inEra(kv.ModRevision)
+		if kv.Lease != (platform.LeaseID{}) {
+			kv.Lease.Era = s.era
+			s.leases[kv.Lease].keys[key] = true
+		}
+		s.keys[key] = kv
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // oldestWatchRevision returns the first revision that a watch can start from.
 func (s *Store) oldestWatchRevision() int64 {
 	s.mu.Lock()
@@ -168,7 +217,7 @@
 		if len(op.Value) > platform.MaxValueSize {
 			return &RefusedError{etcdjson.CodeInvalidArgument, "etcdserver: request is too large"}
 		}
-		if op.Lease != 0 && s.leases[op.Lease] == nil {
+		if op.Lease != (platform.LeaseID{}) && s.leases[op.Lease] == nil {
 			return errLeaseNotFound
 		}
 	}
@@ -240,11 +289,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextLease++
-	id := s.nextLease
+	id := platform.LeaseID{Era: s.era, Number: s.nextLease}
+	s.addLease(id, ttl)
+	return id
+}
+
+// addLease adds a lease that ends after ttl. s.mu must be held.
+func (s *Store) addLease(id platform.LeaseID, ttl time.Duration) {
 	l := &lease{ttl: ttl, expires: time.Now().Add(ttl), keys: map[string]bool{}}
 	l.timer = time.AfterFunc(ttl, func() { s.expire(id) })
 	s.leases[id] = l
-	return id
 }
 
 // KeepAlive renews a lease and returns its TTL. It returns an error if the lease does not exist.
--- a/modules/kv/etcd/ops.go
+++ b/modules/kv/etcd/ops.go
@@ -49,16 +49,16 @@
 	var reply etcdjson.LeaseReply
 	if err := k.write(ctx, "grant", etcdjson.PathGrant,
 		&etcdjson.LeaseGrantRequest{TTLSeconds: seconds}, &reply); err != nil {
-		return 0, err
+		return platform.LeaseID{}, err
 	}
-	return platform.LeaseID(reply.ID), nil
+	return platform.LeaseID{Number: reply.ID}, nil
 }
 
 // KeepAlive implements platform.KV. It is sent as a read, which may be retried, since renewing a lease twice
 // is harmless.
 func (k *KV) KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
 	var reply etcdjson.KeepAliveReply
-	if err := k.read(ctx, "keepalive", etcdjson.PathKeepAlive, &etcdjson.LeaseRequest{ID: int64(id)}, &reply); err != nil {
+	if err := k.read(ctx, "keepalive", etcdjson.PathKeepAlive, &etcdjson.LeaseRequest{ID: id.Number}, &reply); err != nil {
 		return 0, err
 	}
 	if reply.Error != nil {
@@ -72,7 +72,7 @@
 
 // Revoke implements platform.KV.
 func (k *KV) Revoke(ctx context.Context, id platform.LeaseID) error {
-	return k.write(ctx, "revoke", etcdjson.PathRevoke, &etcdjson.LeaseRequest{ID: int64(id)}, &etcdjson.Empty{})
+	return k.write(ctx, "revoke", etcdjson.PathRevoke, &etcdjson.LeaseRequest{ID: id.Number}, &etcdjson.Empty{})
 }
 
 // prefixedKey returns a key as it is stored, with the configured prefix.
@@ -100,7 +100,7 @@
 		case op.Delete:
 			out = append(out, etcdjson.Op{Delete: &etcdjson.DeleteRequest{Key: key}})
 		default:
-			out = append(out, etcdjson.Op{Put: &etcdjson.PutRequest{Key: key, Value: op.Value, Lease: int64(op.Lease)}})
+			out = append(out, etcdjson.Op{Put: &etcdjson.PutRequest{Key: key, Value: op.Value, Lease: op.Lease.Number}})
 		}
 	}
 	return out
@@ -133,7 +133,7 @@
 	return platform.KeyValue{
 		Key:   strings.TrimPrefix(string(kv.Key), k.Prefix),
 		Value: kv.Value, CreateRevision: kv.CreateRevision, ModRevision: kv.ModRevision,
-		Version: kv.Version, Lease: platform.LeaseID(kv.Lease),
+		Version: kv.Version, Lease: platform.LeaseID{Number: kv.Lease},
 	}
 }
 
