fleet: pause between listings that no watch follows

Cause: a watch of compacted revisions leads to a listing without a delay, and a successful listing resets the delay between failed calls.

Change: a listing that follows another one without a reply to a watch in between waits from 0.1 to 0.6 s.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -217,3 +217,41 @@
 		<-d.views
 	}
 }
+
+// TestStoreWithoutItsRevisions guards against listing the store without a pause while it does not have the revisions of its own
+// listings, as after its return from an older copy without an era.
+func TestStoreWithoutItsRevisions(t *testing.T) {
+	store := standin.New()
+	defer store.Close()
+	store.Put("table", []byte("1"))
+	var all []*daemon
+	for i := range 3 {
+		d := startDaemon(t, fmt.Sprint("daemon-", i), store.Address(), addresses(all)...)
+		d.awaitVersion(t, 1)
+		all = append(all, d)
+	}
+	for len(all[2].EntryAddresses("z")) < len(all) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	store.CompactAll(true)
+	before := store.Calls("kv-range")
+	const period = 2 * time.Second
+	time.Sleep(period)
+	// Each daemon waits for up to 0.6 s between two listings.
+	if n := store.Calls("kv-range") - before; n > 30*len(all) {
+		t.Errorf("%d calls to list the store in %s", n, period)
+	}
+	store.CompactAll(false)
+	store.Put("table", []byte("2"))
+	for _, d := range all {
+		d.awaitVersion(t, 2)
+	}
+}
+
+// addresses returns the control addresses of daemons.
+func addresses(daemons []*daemon) (addresses []string) {
+	for _, d := range daemons {
+		addresses = append(addresses, d.self.ControlAddress)
+	}
+	return addresses
+}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -58,6 +58,8 @@
 // list the keys again if the revision from which they watch has been compacted.
 func (f *Fleet) replicateStore(ctx context.Context) {
 	delay := minRetryDelay
+	// listings counts the listings since the last reply to a watch.
+	listings := 0
 	var unusable unusableReplies
 	hasListing := !f.isSeed() && (f.listStaleStore(ctx) == nil || f.awaitPeerState(ctx))
 	if hasListing {
@@ -67,12 +69,17 @@
 		var err error
 		switch {
 		case !hasListing:
+			sleepContext(ctx, relistDelay(listings))
 			if err = f.listStore(ctx); err == nil {
 				hasListing = true
+				listings++
 				f.awaitWatchedStore(ctx)
 			}
 		case f.mustWatch():
-			err = f.watchStore(ctx)
+			var replied bool
+			if replied, err = f.watchStore(ctx); replied {
+				listings = 0
+			}
 			hasListing = !errors.Is(err, platform.ErrCompacted)
 			if revision := f.watchedRevision(); unusable.mustList(revision, err) {
 				err = f.listAfterUnusableReply(ctx, revision, err)
@@ -92,6 +99,15 @@
 	}
 }
 
+// relistDelay returns the time to wait before a listing after n others without a reply to a watch in between. A store that
+// does not have the revision of its own listing must not be listed without a pause.
+func relistDelay(n int) time.Duration {
+	if n == 0 {
+		return 0
+	}
+	return min(minRetryDelay<<min(n-1, 8), maxRetryDelay)
+}
+
 // isSeed reports whether other daemons get the state from this one when they start, or there is no other to get it
 // from.
 func (f *Fleet) isSeed() bool {
@@ -230,28 +246,30 @@
 	f.updateState(func(now time.Time, s *State) bool { return s.ApplyListing(now, revision, all) })
 }
 
-// watchStore applies events of a watch until the watch fails or this daemon need not watch any more.
-func (f *Fleet) watchStore(ctx context.Context) error {
+// watchStore applies events of a watch until the watch fails or this daemon need not watch any more. It reports whether there
+// was a reply that could be used.
+func (f *Fleet) watchStore(ctx context.Context) (replied bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	replies, err := f.opts.KV.Watch(ctx, "", f.watchedRevision()+1)
 	if err != nil {
-		return err
+		return false, err
 	}
 	for reply := range replies {
 		if reply.Err != nil {
-			return reply.Err
+			return replied, reply.Err
 		}
+		replied = true
 		f.recordStoreReply()
 		f.updateState(func(now time.Time, s *State) bool { return applyEvents(now, s, reply.Events) })
 		f.mu.Lock()
 		f.readRevision = max(f.readRevision, reply.Revision)
 		f.mu.Unlock()
 		if !f.mustWatch() {
-			return nil
+			return replied, nil
 		}
 	}
-	return ctx.Err()
+	return replied, ctx.Err()
 }
 
 // applyEvents applies events of a watch and reports whether the state changed. The value of a put is never passed as
