usage: keep decisions that the store has lost

Cause: duty/usage was taken for all that had ever been decided. The copy lacks the latest decisions, and a holder that has the window in its ledger decides on it again, with the counts that its own process has heard of.

Change: every daemon that watches the store, and every holder, keeps the newest value of duty/usage and writes it again when the store has lost it; a holder goes on from the latest decisions that it knows.

--- a/internal/entrynode/duties.go
+++ b/internal/entrynode/duties.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/samber/oops"
 
 	"github.com/chivewind/chivewind"
@@ -23,6 +24,8 @@
 	// probeInterval is the time between two attempts of the first candidate otherwise, and of the second one. Those of the
 	// third one are half as frequent. Thus they acquire the role only when the first one cannot.
 	probeInterval = 4 * time.Second
+	// restoreRetryDelay is the time between two attempts to restore the decisions on usage.
+	restoreRetryDelay = 500 * time.Millisecond
 )
 
 // candidacy decides whether this daemon is a candidate for the role of duties, and how often it tries to acquire it.
@@ -65,15 +68,20 @@
 // duties are the duties that this daemon may hold for the fleet. All fields are nil if the deployment has none.
 type duties struct {
 	runner *duty.Runner
-	// usage is not nil if the deployment reports usage.
-	usage  *usage.Ledger
-	cancel context.CancelFunc
-	ended  chan struct{}
+	// usage and decisions are not nil if the deployment reports usage.
+	usage     *usage.Ledger
+	decisions *usage.Decisions
+	// storeReturned receives a value when the store has come back from an older copy.
+	storeReturned chan struct{}
+	kv            platform.KV
+	log           hclog.Logger
+	cancel        context.CancelFunc
+	ended         chan struct{}
 }
 
 // newDuties loads the control plane and creates the tasks of its duties.
 func (n *Node) newDuties() (*duties, error) {
-	d, s := &duties{}, n.settings
+	d, s := &duties{storeReturned: make(chan struct{}, 1), kv: n.kv, log: n.log.Named("duties")}, n.settings
 	if s.ControlPlane == nil {
 		return d, nil
 	}
@@ -85,15 +93,16 @@
 	if !ok {
 		return nil, oops.With("module", s.ControlPlane.Use).Errorf("module %s is not a control plane", s.ControlPlane.Use)
 	}
-	log := n.log.Named("duties")
+	log := d.log
 	var tasks []duty.Task
 	for _, name := range control.Duties() {
 		switch name {
 		case platform.DutyUsage:
 			now := time.Now()
 			d.usage = usage.NewLedger(s.ID, uint64(now.UnixNano()), usage.Limits{Window: s.Duties.UsageWindow.D(), Due: s.Duties.UsageDue.D()}, now)
+			d.decisions = &usage.Decisions{}
 			tasks = append(tasks, usage.NewTask(usage.TaskOptions{
-				Ledger: d.usage, KV: n.kv, Control: control, Log: log, Metrics: n.metrics,
+				Ledger: d.usage, Decisions: d.decisions, KV: n.kv, Control: control, Log: log, Metrics: n.metrics,
 			}))
 		case platform.DutyScaling:
 			input := func(now time.Time) []capacity.Input { return n.server.CapacityInput(now) }
@@ -126,6 +135,9 @@
 	if d.runner == nil {
 		return
 	}
+	if d.decisions != nil {
+		go d.restoreDecisions(ctx)
+	}
 	ctx, d.cancel = context.WithCancel(ctx)
 	d.ended = make(chan struct{})
 	go func() {
@@ -134,6 +146,50 @@
 	}()
 }
 
+// observe records a key of the store that is neither the routing table nor an endpoint's nor a daemon's.
+func (d *duties) observe(kv platform.KeyValue) {
+	if d.decisions == nil || kv.Key != usage.Key {
+		return
+	}
+	if err := d.decisions.Observe(kv.Value); err != nil {
+		d.log.Warn("a value of the store was ignored", "key", kv.Key, "error", err)
+	}
+}
+
+// noteStoreReturned makes restoreDecisions act.
+func (d *duties) noteStoreReturned() {
+	select {
+	case d.storeReturned <- struct{}{}:
+	default:
+	}
+}
+
+// restoreDecisions restores the decisions on usage each time the store has come back from an older copy, until ctx is
+// canceled. Every daemon that knows them does so; no daemon decides on further windows within the quiet period that follows.
+func (d *duties) restoreDecisions(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.storeReturned:
+		}
+		for ctx.Err() == nil {
+			restored, err := d.decisions.Restore(ctx, d.kv)
+			if err == nil {
+				if restored {
+					d.log.Info("decisions on usage were written to the store again")
+				}
+				break
+			}
+			d.log.Debug("decisions on usage could not be restored", "error", err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(restoreRetryDelay):
+			}
+		}
+	}
+}
+
 // stop releases the role and waits until that is done.
 func (d *duties) stop() {
 	if d.cancel == nil {
--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -113,7 +113,7 @@
 			DecodeTable: managed.DecodeTable, DecodeEndpoint: managed.DecodeEndpoint,
 		},
 		KV: n.kv, Peers: n.peerPool, Seeds: s.Join, MinLeaseTTL: s.MinLease.D(), DrainBound: s.Bounds.Drain.D(),
-		Reporter: n.server, OnViewChange: n.server.SetView, Log: n.log.Named("fleet"), Metrics: n.metrics,
+		Reporter: n.server, OnViewChange: n.server.SetView, OnOtherKey: n.duties.observe, OnStoreReturned: n.duties.noteStoreReturned, Log: n.log.Named("fleet"), Metrics: n.metrics,
 	})
 	if err == nil {
 		n.server.SetFleet(n.fleet)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,8 +55,14 @@
 	Reporter Reporter
 	// OnViewChange is called with each new view. Calls are serialized.
 	OnViewChange func(*View)
-	Log          hclog.Logger
-	Metrics      metrics.Registry
+	// OnOtherKey, if not nil, is called with keys of the store that are neither the routing table nor an endpoint's nor a
+	// daemon's, as this daemon reads them. A daemon that watches the store reads all of them.
+	OnOtherKey func(platform.KeyValue)
+	// OnStoreReturned, if not nil, is called when this daemon learns that the store has come back from an older copy. It must
+	// not block.
+	OnStoreReturned func()
+	Log             hclog.Logger
+	Metrics         metrics.Registry
 }
 
 // Fleet maintains the view of the store and the list of members. mu guards the fields declared below it and is
@@ -270,6 +276,9 @@
 func (f *Fleet) recordEra(before, era int64) {
 	f.incCounter("chivewind_store_era_changes_total")
 	f.opts.Log.Warn("the store has come back from an older copy", "era", era, "before", before)
+	if f.opts.OnStoreReturned != nil {
+		f.opts.OnStoreReturned()
+	}
 }
 
 // logViewChange logs a new routing table and endpoints that were added, removed or changed state.
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -240,6 +241,9 @@
 
 func (f *Fleet) applyListing(all []platform.KeyValue, revision int64) {
 	f.updateDaemons(all)
+	for _, kv := range all {
+		f.noteOtherKey(kv)
+	}
 	f.mu.Lock()
 	f.readRevision = max(f.readRevision, revision)
 	f.mu.Unlock()
@@ -262,6 +266,11 @@
 		replied = true
 		f.recordStoreReply()
 		f.updateState(func(now time.Time, s *State) bool { return applyEvents(now, s, reply.Events) })
+		for _, e := range reply.Events {
+			if !e.Deleted {
+				f.noteOtherKey(e.KV)
+			}
+		}
 		f.mu.Lock()
 		f.readRevision = max(f.readRevision, reply.Revision)
 		f.mu.Unlock()
@@ -272,6 +281,13 @@
 	return replied, ctx.Err()
 }
 
+// noteOtherKey calls OnOtherKey for a key that neither the state nor the members contain.
+func (f *Fleet) noteOtherKey(kv platform.KeyValue) {
+	if f.opts.OnOtherKey != nil && !f.state.relevant(kv.Key) && !strings.HasPrefix(kv.Key, f.opts.Codec.DaemonPrefix) {
+		f.opts.OnOtherKey(kv)
+	}
+}
+
 // applyEvents applies events of a watch and reports whether the state changed. The value of a put is never passed as
 // nil, because State.Apply takes a nil value for a removal.
 func applyEvents(now time.Time, s *State, events []platform.Event) bool {
--- a/internal/usage/task.go
+++ b/internal/usage/task.go
@@ -32,11 +32,13 @@
 
 // TaskOptions configures a Task.
 type TaskOptions struct {
-	Ledger  *Ledger
-	KV      platform.KV
-	Control platform.ControlPlane
-	Log     hclog.Logger
-	Metrics metrics.Registry
+	Ledger *Ledger
+	// Decisions is shared by the tasks of all terms of this daemon.
+	Decisions *Decisions
+	KV        platform.KV
+	Control   platform.ControlPlane
+	Log       hclog.Logger
+	Metrics   metrics.Registry
 }
 
 // Task is the duty of reporting usage. It decides on the counts of each window exactly once: by writing them to the store
@@ -114,7 +116,7 @@
 	return err
 }
 
-// load reads the stored reports.
+// load reads the stored reports. If the store has lost some, those that this daemon knows count.
 func (t *Task) load(ctx context.Context) error {
 	reply, err := t.o.KV.Range(ctx, platform.RangeRequest{Key: Key})
 	if err != nil {
@@ -129,7 +131,10 @@
 		}
 		revision = reply.KVs[0].ModRevision
 	}
-	t.state, t.revision, t.loaded, t.accepted = state, revision, true, map[int64]bool{}
+	t.state, t.revision, t.loaded, t.accepted = t.o.Decisions.latest(state), revision, true, map[int64]bool{}
+	if t.state.Next > state.Next {
+		t.o.Log.Warn("the store has lost decisions on usage", "next", state.Next, "known", t.state.Next)
+	}
 	return nil
 }
 
@@ -242,17 +247,11 @@
 		return nil // no space until the control plane accepts reports
 	}
 	t.loaded = false
-	reply, err := t.o.KV.Txn(ctx, platform.Txn{
-		If:   []platform.Compare{{Key: Key, Target: platform.CompareModRevision, Revision: t.revision}},
-		Then: []platform.Op{{Key: Key, Value: value}},
-	})
-	switch {
-	case err != nil:
+	revision, err := replace(ctx, t.o.KV, t.revision, value)
+	if err != nil {
 		return err
-	case !reply.Succeeded:
-		return errLostRace
 	}
-	t.state, t.revision, t.loaded = state, reply.Revision, true
+	t.state, t.revision, t.loaded = t.o.Decisions.latest(state), revision, true
 	t.o.Ledger.Forget(state.Next)
 	return nil
 }
--- a/internal/usage/task_test.go
+++ b/internal/usage/task_test.go
@@ -30,6 +30,8 @@
 
 	mu      sync.Mutex
 	daemons []*testDaemon
+	// last is the last holder before the store came back from an older copy.
+	last *testDaemon
 	// actual has the requests of each window and workspace.
 	actual map[int64]map[string]int
 	// reportLoss is the share of reports that are lost.
@@ -42,12 +44,13 @@
 
 // testDaemon is one process of a daemon.
 type testDaemon struct {
-	n      *network
-	name   string
-	ledger *Ledger
-	client *kv.Client
-	runner *duty.Runner
-	cut    bool
+	n         *network
+	name      string
+	ledger    *Ledger
+	decisions *Decisions
+	client    *kv.Client
+	runner    *duty.Runner
+	cut       bool
 	// kill ends the process without a graceful stop; stop ends it gracefully.
 	kill, stop func()
 }
@@ -96,10 +99,10 @@
 // start starts a process of a daemon. It must be called in a synctest bubble.
 func (n *network) start(name string) *testDaemon {
 	now := time.Now()
-	d := &testDaemon{n: n, name: name, ledger: NewLedger(name, uint64(now.UnixNano()), testLimits, now), client: kv.NewClient(n.store)}
+	d := &testDaemon{n: n, name: name, decisions: &Decisions{}, ledger: NewLedger(name, uint64(now.UnixNano()), testLimits, now), client: kv.NewClient(n.store)}
 	d.client.SetTimeout(700 * time.Millisecond)
 	registry := metrics.NewRegistry()
-	task := NewTask(TaskOptions{Ledger: d.ledger, KV: d.client, Control: n, Log: hclog.NewNullLogger(), Metrics: registry})
+	task := NewTask(TaskOptions{Ledger: d.ledger, Decisions: d.decisions, KV: d.client, Control: n, Log: hclog.NewNullLogger(), Metrics: registry})
 	d.runner = duty.NewRunner(duty.Options{
 		KV: d.client, Daemon: name, Lease: testLease, Eligible: func() bool { return true }, Tasks: []duty.Task{task},
 		Log: hclog.NewNullLogger(), Metrics: registry,
@@ -108,6 +111,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { d.runner.Run(ctx) })
 	running.Go(func() { d.exchange(ctx) })
+	running.Go(func() { d.follow(ctx) })
 	n.locked(func() { n.daemons = append(n.daemons, d) })
 	leave := func() {
 		n.locked(func() {
@@ -169,6 +173,47 @@
 	}
 }
 
+// follow watches the key of the decisions as a relay does, and restores them when the store has come back from an older copy.
+func (d *testDaemon) follow(ctx context.Context) {
+	revision := int64(0)
+	for ; ctx.Err() == nil; sleep(ctx, 200*time.Millisecond) {
+		reply, err := d.client.Range(ctx, platform.RangeRequest{Key: Key})
+		if err != nil {
+			continue
+		}
+		d.observe(reply.KVs)
+		for returned := platform.EraOf(reply.Revision) > platform.EraOf(revision); returned && ctx.Err() == nil; sleep(ctx, 500*time.Millisecond) {
+			_, err := d.decisions.Restore(ctx, d.client)
+			returned = err != nil
+		}
+		revision = reply.Revision
+		replies, err := d.client.Watch(ctx, Key, revision+1)
+		if err != nil {
+			continue
+		}
+		for reply := range replies {
+			for _, e := range reply.Events {
+				d.observe([]platform.KeyValue{e.KV})
+			}
+			revision = max(revision, reply.Revision)
+		}
+	}
+}
+
+func (d *testDaemon) observe(kvs []platform.KeyValue) {
+	for _, kv := range kvs {
+		_ = d.decisions.Observe(kv.Value)
+	}
+}
+
+// sleep waits for a time or the end of ctx.
+func sleep(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
 func (n *network) holder() *testDaemon {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -396,3 +441,120 @@
 		n.check(windowNow()-5, windowNow()-3, 0, 0)
 	})
 }
+
+// TestDutUsageOlderCopy guards against two different reports of a window, and against windows that are not reported, after the
+// store has come back from a copy without the decisions on windows whose reports were accepted.
+func TestDutUsageOlderCopy(t *testing.T) {
+	for _, c := range []struct {
+		desc string
+		// age is that of the copy at the return, and away how long the store does not reply before it.
+		age, away time.Duration
+		// before is called when the copy has been taken, and at just before the return.
+		before, at func(n *network)
+	}{
+		{desc: "nothing else", age: 7 * time.Second, away: time.Second},
+		{desc: "older than several windows", age: 23 * time.Second, away: time.Second},
+		{desc: "not away", age: 7 * time.Second},
+		{desc: "a daemon restarts before it", age: 12 * time.Second, away: time.Second, before: func(n *network) { n.restart(n.other()) }},
+		{desc: "the holder restarts before it", age: 12 * time.Second, away: time.Second, before: func(n *network) { n.restart(n.holder()) }},
+		{desc: "the holder restarts at the return", age: 7 * time.Second, away: 500 * time.Millisecond, at: func(n *network) {
+			n.restart(n.last)
+		}},
+		{desc: "the holder is cut off from the store at the return", age: 7 * time.Second, away: time.Second, at: func(n *network) {
+			n.last.client.SetHang(true)
+		}},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(t)
+				first := windowNow()
+				for _, name := range []string{"a", "b", "c"} {
+					n.start(name)
+				}
+				time.Sleep(31 * time.Second)
+				for round := range 4 {
+					older := n.store.Snapshot()
+					taken := time.Now()
+					if c.before != nil {
+						c.before(n)
+					}
+					time.Sleep(c.age - c.away - time.Since(taken) + time.Duration(round)*1300*time.Millisecond)
+					n.last = n.holder()
+					if n.last == nil {
+						t.Fatal("nobody holds the role")
+					}
+					n.setStoreDown(c.away > 0)
+					time.Sleep(c.away)
+					if c.at != nil {
+						c.at(n)
+					}
+					n.store.Restore(older)
+					n.setStoreDown(false)
+					time.Sleep(17 * time.Second)
+					n.last.client.SetHang(false)
+					time.Sleep(20 * time.Second)
+				}
+				n.check(first, windowNow()-3, 0, 0.05)
+			})
+		})
+	}
+}
+
+// other returns a daemon that does not hold the role.
+func (n *network) other() *testDaemon {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range n.daemons {
+		if !d.runner.Holds() {
+			return d
+		}
+	}
+	return nil
+}
+
+// restart stops a daemon gracefully and starts it again.
+func (n *network) restart(d *testDaemon) {
+	d.stop()
+	n.start(d.name)
+}
+
+// TestRestoreDecisions guards against decisions that a store lacks for good after its return from an older copy, and against
+// earlier ones that replace later ones.
+func TestRestoreDecisions(t *testing.T) {
+	ctx, store := t.Context(), kv.NewStore()
+	client := kv.NewClient(store)
+	with := func(next int64) []byte {
+		return encode(stored{Next: next, Windows: []storedWindow{{Window: next - 1}}})
+	}
+	for _, c := range []struct {
+		desc           string
+		known, value   []byte
+		restored, want bool
+	}{
+		{desc: "nothing known", value: with(5), want: false},
+		{desc: "no value", known: with(7), restored: true, want: true},
+		{desc: "earlier value", known: with(7), value: with(5), restored: true, want: true},
+		{desc: "same value", known: with(7), value: with(7), want: true},
+		{desc: "later value", known: with(7), value: with(9), want: false},
+		{desc: "malformed value", known: with(7), value: []byte("{"), restored: true, want: true},
+	} {
+		op := platform.Op{Key: Key, Value: c.value, Delete: c.value == nil}
+		if _, err := store.Txn(platform.Txn{Then: []platform.Op{op}}); err != nil {
+			t.Fatal(err)
+		}
+		d := &Decisions{}
+		if c.known != nil {
+			if err := d.Observe(c.known); err != nil {
+				t.Fatal(err)
+			}
+		}
+		restored, err := d.Restore(ctx, client)
+		if err != nil || restored != c.restored {
+			t.Errorf("%s: restored %v, %v", c.desc, restored, err)
+		}
+		reply := store.Range(platform.RangeRequest{Key: Key})
+		if got := len(reply.KVs) > 0 && string(reply.KVs[0].Value) == string(c.known); got != c.want {
+			t.Errorf("%s: the store has what was known: %v, want %v", c.desc, got, c.want)
+		}
+	}
+}
--- a/test/integration/duties_test.go
+++ b/test/integration/duties_test.go
@@ -213,3 +213,40 @@
 	s.control.SetDropReplies(false)
 	s.checkWindows()
 }
+
+// TestDutReturnFromOlderCopy guards against a window that is reported with other counts, and against a lower fencing token,
+// after the store has come back from a copy that has neither the holder nor its reports.
+func TestDutReturnFromOlderCopy(t *testing.T) {
+	s := newDutySystem(t)
+	older := s.store.Snapshot()
+	holder := s.waitHolder(time.Time{}, nil)
+	for _, d := range s.daemons {
+		s.request(d)
+	}
+	// A restarted daemon lacks the counts of its former process, which the holder has.
+	<-time.After(time.Second)
+	for _, d := range s.daemons {
+		if d != holder {
+			d.terminate(startTimeout)
+			d.start()
+			s.request(d)
+			break
+		}
+	}
+	<-time.After(2 * usageWindow)
+	for range 2 {
+		s.store.SetSilent(true)
+		<-time.After(500 * time.Millisecond)
+		s.store.Restore(older)
+		s.store.SetSilent(false)
+		back := time.Now()
+		// Calls that were on their way when the store went away may still arrive.
+		next := s.waitHolder(back.Add(dutyLease), nil)
+		t.Logf("%s acts after the return, %s before it", next.id, holder.id)
+		for _, d := range s.daemons {
+			s.request(d)
+		}
+		<-time.After(usageWindow)
+	}
+	s.checkWindows()
+}
