fleet: apply all changes of one revision

Of several endpoints whose entries are written at one revision of the store, only the first one became known (found by a test; no caller has been seen to be affected, as endpoints write one by one).

Cause: the state advanced to the revision of the first event, and a change of an unknown key up to the state's revision is ignored as one that has been undone since. Now the state advances after all events of a reply, which never ends within a revision.

Measured: TestChangesOfOneRevision failed before ("2 endpoints at revision 6, want 4 at 6").

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -289,9 +289,10 @@
 }
 
 // applyEvents applies events of a watch and reports whether the state changed. The value of a put is never passed as
-// nil, because State.Apply takes a nil value for a removal.
+// nil, because State.Apply takes a nil value for a removal. The revision of the state advances after all events, because
+// several keys may have changed at one revision.
 func applyEvents(now time.Time, s *State, events []platform.Event) bool {
-	changed := false
+	changed, newest := false, int64(0)
 	for _, e := range events {
 		value := e.KV.Value
 		switch {
@@ -302,9 +303,10 @@
 		}
 		if s.relevant(e.KV.Key) {
 			changed = s.ApplyFromStore(now, e.KV.Key, e.KV.ModRevision, value) || changed
-			s.Advance(e.KV.ModRevision)
+			newest = max(newest, e.KV.ModRevision)
 		}
 	}
+	s.Advance(newest)
 	return changed
 }
 
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -149,3 +149,23 @@
 		}
 	})
 }
+
+// TestChangesOfOneRevision guards against changes that are lost because another key has changed at the same revision, as in a
+// transaction or when a lease ends.
+func TestChangesOfOneRevision(t *testing.T) {
+	s := newTestState()
+	put := func(key string, revision int64) platform.Event {
+		return platform.Event{KV: platform.KeyValue{Key: key, ModRevision: revision, Value: []byte("p")}}
+	}
+	remove := func(key string, revision int64) platform.Event {
+		return platform.Event{KV: platform.KeyValue{Key: key, ModRevision: revision}, Deleted: true}
+	}
+	applyEvents(testTime, s, []platform.Event{put("e/1", 5), put("e/2", 5), put("e/3", 5), put("e/4", 6)})
+	if n := len(s.View(testTime).Endpoints); n != 4 || s.Revision() != 6 {
+		t.Errorf("%d endpoints at revision %d, want 4 at 6", n, s.Revision())
+	}
+	applyEvents(testTime, s, []platform.Event{remove("e/1", 7), remove("e/2", 7), put("e/5", 7)})
+	if n := len(s.View(testTime).Endpoints); n != 3 || s.Revision() != 7 {
+		t.Errorf("%d endpoints at revision %d, want 3 at 7", n, s.Revision())
+	}
+}
