fleet: keep and exchange of an entry only what is read

Cause: a daemon that does not watch the store gets what it lacks in one reply of at most 8 MiB. Daemons kept and sent the bytes of all entries, also of unreadable ones. Every pull failed, and the next one asked for the same; the store was not read, because others reached it.

Change: of an unreadable entry the revision is kept, of a readable one what is read of it, at most some hundred bytes. A daemon that fails to pull a newer state three times in a row lists the store, at most every 5 s, and says so. The first two bound a reply by the number of entries, the third one holds whatever pulls fail for.

--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -110,7 +110,7 @@
 		},
 		Codec: fleet.Codec{
 			TableKey: managed.KeyTable, EndpointPrefix: managed.PrefixEndpoints, DaemonPrefix: managed.PrefixDaemons,
-			DecodeTable: managed.DecodeTable, DecodeEndpoint: managed.DecodeEndpoint,
+			DecodeTable: managed.DecodeTable, DecodeEndpoint: managed.DecodeEndpoint, EncodeEndpoint: managed.EncodeEndpoint,
 		},
 		KV: n.kv, Peers: n.peerPool, Seeds: s.Join, MinLeaseTTL: s.MinLease.D(), DrainBound: s.Bounds.Drain.D(),
 		Reporter: n.server, OnViewChange: n.server.SetView, OnOtherKey: n.duties.observe, OnStoreReturned: n.duties.noteStoreReturned, Log: n.log.Named("fleet"), Metrics: n.metrics,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -97,6 +97,10 @@
 	pulling      bool
 	nextPullAt   time.Time
 	pullTimeout  time.Duration
+	// pullFailures counts the pulls of a newer state that have failed in a row, and caughtUpAt is when this daemon last read the
+	// store because of them.
+	pullFailures int
+	caughtUpAt   time.Time
 }
 
 // New returns a Fleet with an empty view. It returns an error if the report address cannot be bound.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/base64"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/chivewind/chivewind/config"
 	"github.com/chivewind/chivewind/internal/fleet"
@@ -18,6 +23,7 @@
 	"github.com/chivewind/chivewind/peer"
 	"github.com/chivewind/chivewind/platform/managed"
 	"github.com/chivewind/chivewind/platform/managed/standin"
+	"github.com/chivewind/chivewind/traffic"
 )
 
 // noopReporter is a fleet.Reporter without any load.
@@ -48,7 +54,13 @@
 
 func startDaemon(t *testing.T, name, store string, seeds ...string) *daemon {
 	t.Helper()
-	kv := &managed.Store{Address: store, Timeout: config.Duration(300 * time.Millisecond), WatchWait: config.Duration(300 * time.Millisecond)}
+	return startDaemonWith(t, fleet.TestCodec, 300*time.Millisecond, name, store, seeds...)
+}
+
+// startDaemonWith starts a daemon with a codec and a time limit for calls to the store.
+func startDaemonWith(t *testing.T, codec fleet.Codec, timeout time.Duration, name, store string, seeds ...string) *daemon {
+	t.Helper()
+	kv := &managed.Store{Address: store, Timeout: config.Duration(timeout), WatchWait: config.Duration(300 * time.Millisecond)}
 	if err := kv.Provision(nil); err != nil {
 		t.Fatal(err)
 	}
@@ -59,7 +71,7 @@
 	var err error
 	d.Fleet, err = fleet.New(fleet.Options{
 		Self:  self,
-		Codec: fleet.TestCodec, KV: kv, Peers: pool, Seeds: seeds, MinLeaseTTL: time.Second, DrainBound: 2 * time.Second,
+		Codec: codec, KV: kv, Peers: pool, Seeds: seeds, MinLeaseTTL: time.Second, DrainBound: 2 * time.Second,
 		Reporter: noopReporter{}, OnViewChange: func(v *fleet.View) { d.views <- v }, Log: hclog.NewNullLogger(), Metrics: registry,
 	})
 	if err != nil {
@@ -255,3 +267,74 @@
 	}
 	return addresses
 }
+
+// TestLargeEntries guards against daemons that never get a new routing table because the entries of another writer make the
+// state too large for a message: entries that are unreadable, hold much that is not read, or are large in what is.
+func TestLargeEntries(t *testing.T) {
+	const (
+		// All daemons but one are relays.
+		daemons    = 4
+		entries    = 10
+		entryBytes = 1 << 20
+		tableBytes = 64 << 10
+		// storeTimeout allows for a stand-in that takes long to encode all entries in one reply.
+		storeTimeout = 10 * time.Second
+	)
+	noise := func(n int) []byte {
+		b := make([]byte, n)
+		_, _ = rand.Read(b)
+		return b
+	}
+	codec := fleet.TestCodec
+	codec.DecodeTable = func(raw []byte) (*traffic.Table, error) {
+		version, _, _ := strings.Cut(string(raw), "\n")
+		v, err := strconv.ParseInt(version, 10, 64)
+		return &traffic.Table{Version: v}, err
+	}
+	table := func(version int) []byte { return append(fmt.Appendf(nil, "%d\n", version), noise(tableBytes)...) }
+	registry := codec
+	registry.DecodeEndpoint, registry.EncodeEndpoint = managed.DecodeEndpoint, managed.EncodeEndpoint
+	for _, c := range []struct {
+		desc  string
+		codec fleet.Codec
+		entry func() []byte
+		// small is whether daemons keep little of the entries.
+		small bool
+	}{
+		{"unreadable", registry, func() []byte { return noise(entryBytes) }, true},
+		{"with unknown fields", registry, func() []byte {
+			const good = `{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","x":%q}`
+			return fmt.Appendf(nil, good, base64.StdEncoding.EncodeToString(noise(entryBytes*3/4-1000)))
+		}, true},
+		{"large in what is read", codec, func() []byte { return noise(entryBytes) }, false},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			store := standin.New()
+			defer store.Close()
+			store.Put("table", table(1))
+			var all []*daemon
+			for i := range daemons {
+				d := startDaemonWith(t, c.codec, storeTimeout, fmt.Sprint("daemon-", i), store.Address(), addresses(all)...)
+				d.awaitVersion(t, 1)
+				all = append(all, d)
+			}
+			time.Sleep(time.Second)
+			written := map[string][]byte{}
+			for i := range entries {
+				written[fmt.Sprint("e/", i)] = c.entry()
+			}
+			store.PutAll(written)
+			store.Put("table", table(2))
+			for _, d := range all {
+				d.awaitVersion(t, 2)
+			}
+			reply, err := all[0].Sync(context.Background(), &peer.SyncRequest{From: "new"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n := proto.Size(reply); c.small && n > 2*tableBytes {
+				t.Errorf("%d bytes for a new daemon", n)
+			}
+		})
+	}
+}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -49,7 +49,8 @@
 	// key, and registerCheckInterval the time between later checks.
 	registerDelay         = 4 * time.Second
 	registerCheckInterval = 5 * time.Second
-	// isolatedListInterval is the minimum time between listings of the store by a daemon that receives no reports.
+	// isolatedListInterval is the minimum time between listings of the store by a daemon that receives no reports, or cannot
+	// pull the state of others.
 	isolatedListInterval = 5 * time.Second
 )
 
@@ -85,6 +86,8 @@
 			if revision := f.watchedRevision(); unusable.mustList(revision, err) {
 				err = f.listAfterUnusableReply(ctx, revision, err)
 			}
+		case f.mustCatchUp():
+			err = f.catchUp(ctx)
 		default:
 			sleepContext(ctx, watchCheckInterval)
 		}
--- a/internal/fleet/pull.go
+++ b/internal/fleet/pull.go
@@ -17,6 +17,9 @@
 	// that a large table arrives over a slow link.
 	minPullTimeout = 700 * time.Millisecond
 	maxPullTimeout = 6 * time.Second
+	// maxPullFailures is the number of pulls in a row without a usable reply, while other daemons have a newer state, after
+	// which a daemon that does not watch the store reads it itself. Whatever they fail for, the next ones may fail as well.
+	maxPullFailures = 3
 )
 
 // schedulePull pulls the state after pullDelay unless the revision has advanced by then. f.mu must be held.
@@ -33,7 +36,8 @@
 		f.mu.Unlock()
 		if behind && len(sources) > 0 {
 			// Any daemon with the newer state will do. Pulls of the whole fleet must not go to the same one.
-			f.pull(context.Background(), sources[rand.IntN(len(sources))])
+			pulled := f.pull(context.Background(), sources[rand.IntN(len(sources))])
+			f.recordPull(pulled)
 		}
 		f.mu.Lock()
 		f.pulling, f.nextPullAt = false, time.Now().Add(pullDelay)
@@ -41,6 +45,34 @@
 	})
 }
 
+// recordPull counts the pulls of a newer state that fail in a row.
+func (f *Fleet) recordPull(succeeded bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pullFailures++
+	if succeeded {
+		f.pullFailures = 0
+	}
+}
+
+// mustCatchUp reports whether this daemon must read the store because it cannot get a newer state from other daemons.
+func (f *Fleet) mustCatchUp() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pullFailures >= maxPullFailures && f.members.newestRevision > f.state.Revision() && time.Since(f.caughtUpAt) >= isolatedListInterval
+}
+
+// catchUp reads the store because pulls fail.
+func (f *Fleet) catchUp(ctx context.Context) error {
+	f.mu.Lock()
+	failures := f.pullFailures
+	f.caughtUpAt = time.Now()
+	f.mu.Unlock()
+	f.incCounter("chivewind_store_catch_ups_total")
+	f.opts.Log.Warn("listing the store because the newer state of other daemons cannot be pulled", "failures", failures)
+	return f.listStore(ctx)
+}
+
 // pull requests the entries that are newer at a peer and the members that this daemon does not know, and applies them.
 // It reports whether the peer replied.
 func (f *Fleet) pull(ctx context.Context, from *peer.Identity) bool {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -26,6 +26,9 @@
 	DaemonPrefix   string
 	DecodeTable    func([]byte) (*traffic.Table, error)
 	DecodeEndpoint func(id string, raw []byte) (traffic.Endpoint, error)
+	// EncodeEndpoint returns the shortest value that DecodeEndpoint decodes to an endpoint. Daemons keep and exchange it in
+	// place of the value of the store, which may be large. If it is nil, they keep the latter.
+	EncodeEndpoint func(traffic.Endpoint) []byte
 }
 
 // View is an immutable snapshot of the routing table and the endpoints.
@@ -43,7 +46,7 @@
 // record is the last known state of one key.
 type record struct {
 	revision int64
-	// value is nil if the key was removed.
+	// value is nil if the key was removed or names no endpoint.
 	value    []byte
 	endpoint *traffic.Endpoint
 	// removedAt is when this daemon learned of the removal.
@@ -208,11 +211,17 @@
 	}
 	e, err := s.codec.DecodeEndpoint(strings.TrimPrefix(key, s.codec.EndpointPrefix), value)
 	if err != nil {
+		// Its bytes are of no use to any daemon. The record is that of a removal, so that an earlier value does not count.
 		s.onRejected(key, err)
-	} else {
-		r.endpoint = &e
-		r.keepNewer(now, old)
+		r.value, r.removedAt, r.last = nil, now, old.lastEndpoint()
+		s.setRecord(key, r)
+		return
+	}
+	r.endpoint = &e
+	if s.codec.EncodeEndpoint != nil {
+		r.value = s.codec.EncodeEndpoint(e)
 	}
+	r.keepNewer(now, old)
 	s.setRecord(key, r)
 }
 
