fleet: simulate returns of the store in large fleets

What an earlier era has shown of an endpoint that is leaving is passed on to other daemons, and a listing that brings a table again costs them a patch instead of the whole table. Both were found by reading.

--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/chivewind/chivewind/platform"
@@ -116,3 +117,54 @@
 	pullNow(t, started, late)
 	want(late, "after a pull from the new era", 30)
 }
+
+// TestReturnInSimulatedFleets guards against daemons of small and large fleets that do not follow the store after its return from
+// an older copy, go back to an older table, lose endpoints that write again, or call the store as often as there are pairs of
+// daemons.
+func TestReturnInSimulatedFleets(t *testing.T) {
+	warmUp(t)
+	const (
+		age, away = 5 * time.Second, time.Second
+		// inForce is the time within which a table must be in force.
+		inForce = 2 * time.Second
+		// settled is the time after the return in which no daemon may lose an endpoint.
+		settled = 4 * time.Second
+	)
+	for _, n := range []int{3, 8, 30, *simSize} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startSim(t, n, 7)
+				defer s.stop()
+				time.Sleep(age)
+				s.store.put("table", simTable(2, 6<<10))
+				s.store.put("e/engine-new", []byte("pool-0"))
+				time.Sleep(inForce)
+				s.store.setDown(true)
+				time.Sleep(away)
+				s.store.restore(age)
+				s.store.setDown(false)
+				calls := s.store.callCount()
+				time.Sleep(500 * time.Millisecond)
+				s.store.put("table", simTable(2, 6<<10))
+				s.store.put("e/engine-new", []byte("pool-0"))
+				if took := s.change(3, 6<<10); took > inForce {
+					t.Errorf("version 3 in force after %s", took)
+				}
+				time.Sleep(settled)
+				// At rest relays call once a second; in the disorder each daemon may call a few times.
+				if made := s.store.callCount() - calls; made > 100+6*n {
+					t.Errorf("%d calls to the store since its return", made)
+				}
+				for _, d := range s.daemons {
+					v := d.View()
+					if v.Table.Version != 3 || len(v.Endpoints) != 241 {
+						t.Errorf("%s: version %d, %d endpoints", d.opts.Self.Daemon, v.Table.Version, len(v.Endpoints))
+					}
+					if d.wentBack {
+						t.Errorf("%s went back to an older table", d.opts.Self.Daemon)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -83,6 +83,9 @@
 	receiveFree   time.Time
 	bytes         int
 	inForceSince  map[int64]time.Time
+	// version is that of the table in force, and wentBack is set if it has ever decreased.
+	version  int64
+	wentBack bool
 }
 
 type simPacket struct {
@@ -183,6 +186,8 @@
 		return
 	}
 	d.sim.mu.Lock()
+	d.wentBack = d.wentBack || v.Table.Version < d.version
+	d.version = v.Table.Version
 	if _, ok := d.inForceSince[v.Table.Version]; !ok {
 		d.inForceSince[v.Table.Version] = time.Now()
 	}
--- a/internal/fleet/simstore_test.go
+++ b/internal/fleet/simstore_test.go
@@ -43,6 +43,23 @@
 	return s.calls
 }
 
+// restore replaces the store by a copy of the given age and begins a new era. Keys keep the numbers of their revisions.
+func (s *simStore) restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := platform.EraOf(s.revision) + 1
+	for len(s.events) > 0 && time.Since(s.events[len(s.events)-1].at) < age {
+		s.events = s.events[:len(s.events)-1]
+	}
+	for i := range s.events {
+		kv := &s.events[i].KV
+		kv.ModRevision = platform.RevisionInEra(era, platform.NumberOf(kv.ModRevision))
+		s.revision = kv.ModRevision
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *simStore) put(key string, value []byte) { s.change(key, value, false) }
 
 func (s *simStore) remove(key string) { s.change(key, nil, true) }
@@ -79,6 +96,13 @@
 	s.delay = delay
 }
 
+// setDown sets whether all calls fail.
+func (s *simStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 // setUnusable sets whether replies to watches with events are unusable.
 func (s *simStore) setUnusable(unusable bool) {
 	s.mu.Lock()
@@ -202,6 +226,9 @@
 	if err := k.call(ctx); err != nil {
 		return platform.WatchReply{Err: err}
 	}
+	if s.eraNow() != platform.EraOf(from) {
+		return platform.WatchReply{Err: platform.ErrCompacted}
+	}
 	reply, size, unusable := s.since(from)
 	switch complete := k.d.receive(ctx, size, simWatchBody); {
 	case unusable:
@@ -212,6 +239,13 @@
 	return reply
 }
 
+// eraNow returns the store's era.
+func (s *simStore) eraNow() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return platform.EraOf(s.revision)
+}
+
 // since returns the newest event of each key from a revision on, and the size of all events.
 func (s *simStore) since(from int64) (reply platform.WatchReply, size int, unusable bool) {
 	s.mu.Lock()
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -26,8 +26,8 @@
 	DaemonPrefix   string
 	DecodeTable    func([]byte) (*traffic.Table, error)
 	DecodeEndpoint func(id string, raw []byte) (traffic.Endpoint, error)
-	// EncodeEndpoint returns the shortest value that DecodeEndpoint decodes to an endpoint. Daemons keep and exchange it in
-	// place of the value of the store, which may be large. If it is nil, they keep the latter.
+	// EncodeEndpoint returns a short value that DecodeEndpoint decodes to the endpoint. Daemons keep and exchange it in place of
+	// the value of the store, which may be large. If it is nil, they keep the latter.
 	EncodeEndpoint func(traffic.Endpoint) []byte
 }
 
@@ -218,10 +218,10 @@
 		return
 	}
 	r.endpoint = &e
+	r.keepNewer(now, old)
 	if s.codec.EncodeEndpoint != nil {
-		r.value = s.codec.EncodeEndpoint(e)
+		r.value = s.codec.EncodeEndpoint(*r.endpoint)
 	}
-	r.keepNewer(now, old)
 	s.setRecord(key, r)
 }
 
@@ -237,7 +237,7 @@
 		if value == nil {
 			value = []byte{}
 		}
-		changed = s.Apply(now, kv.Key, kv.ModRevision, value) || changed
+		changed = s.ApplyFromStore(now, kv.Key, kv.ModRevision, value) || changed
 	}
 	changed = s.removeAbsent(now, listRevision, present) || changed
 	s.advanceWithoutRemovals(listRevision, listRevision)
