--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -85,10 +85,12 @@
 // injectFaults injects random, overlapping faults for the given time.
 func (s *system) injectFaults(random *rand.Rand, length time.Duration) {
 	end := time.Now().Add(length)
+	var copies storeCopies
 	for time.Now().Before(end) {
+		copies.take(s.store)
 		d := s.daemons[random.IntN(len(s.daemons))]
 		duration := time.Duration(200+random.IntN(1500)) * time.Millisecond
-		switch random.IntN(13) {
+		switch random.IntN(14) {
 		case 0:
 			s.recordFault("kill", d.name)
 			d.restart(syscall.SIGKILL)
@@ -135,6 +137,13 @@
 			s.recordFault("reload during a stop", d.name)
 			d.reloadLater(duration)
 			d.restart(syscall.SIGTERM)
+		case 13:
+			s.recordFault("store returns from an older copy", "")
+			s.store.SetSilent(true)
+			<-time.After(duration / 4)
+			s.store.Restore(copies.olderThan(2 * duration))
+			s.store.SetSilent(false)
+			s.writeAgain()
 		}
 		<-time.After(time.Duration(50+random.IntN(400)) * time.Millisecond)
 	}
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -101,6 +101,12 @@
 	s.version++
 	version := s.version
 	s.mu.Unlock()
+	s.writeConfig(version)
+	return version
+}
+
+// writeConfig writes a configuration version.
+func (s *system) writeConfig(version int) {
 	var routes []string
 	for _, r := range []struct{ prefix, kind, extra string }{
 		{"/once/", "unsafe", ""}, {"/safe/", "safe", ""}, {"/stream/", "streaming", ""}, {"/resume/", "streaming", `,"resumable":true`},
@@ -109,7 +115,6 @@
 		routes = append(routes, fmt.Sprintf(`{"name":%q,"hostname":"h","prefix":%q,"route_kind":%q,"service":"s","max_attempts":2,"timeout_ms":3000%s}`, r.prefix, r.prefix, r.kind, r.extra))
 	}
 	s.store.Put("op/config", []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s","max_conns":100}],"tenants":[{"name":"t1","api_keys":["k1"]}]}`, version, strings.Join(routes, ","))))
-	return version
 }
 
 // clearFaults ends all faults of the store, the daemons and the endpoints.
--- a/test/soak/traffic_test.go
+++ b/test/soak/traffic_test.go
@@ -22,7 +22,10 @@
 	index int
 	mu    sync.Mutex
 	// instance is the number of the current instance, which replace increments.
-	instance     int
+	instance int
+	// address is that of the current instance, and reports counts the entries written.
+	address      string
+	reports      int
 	failingUntil time.Time
 	pausingUntil time.Time
 	// leaving is the instance that says that it is leaving.
@@ -62,11 +65,14 @@
 	name := e.instanceID()
 	e.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(name, w, r) })}
 	go func(server *http.Server) { _ = server.Serve(l) }(e.server)
-	e.publishState(name, l.Addr().String(), "ready")
+	e.address = l.Addr().String()
+	e.publish()
 }
 
-func (e *endpoint) publishState(name, address, state string) {
-	e.s.store.Put("servers/"+name, []byte(fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":6,"state":%q}`, address, state)))
+// publish writes the entry of the current instance. e.mu must be held.
+func (e *endpoint) publish() {
+	e.reports++
+	e.s.store.Put("servers/"+e.instanceID(), fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","slots":6,"state":"ready","seq":%d}`, e.address, e.reports))
 }
 
 // replace removes the current instance from the store and starts another one. The old instance keeps serving for
