--- a/internal/entrynode/duties.go
+++ b/internal/entrynode/duties.go
@@ -65,7 +65,7 @@
 	return time.Duration(max(rank, 1)) * probeInterval
 }
 
-// duties are the duties that this daemon may hold for the fleet. All fields are nil if the deployment has none.
+// duties are the duties that this daemon may hold for the fleet. Without any, runner, usage and decisions are nil.
 type duties struct {
 	runner *duty.Runner
 	// usage and decisions are not nil if the deployment reports usage.
