usage: test returns of the store at any moment

No product change. 75 returns from an older copy fall on all parts of a window and of the time between renewals, on a graceful restart of the holder, and on a write of a decision that is applied 300 ms after the return.

--- a/internal/usage/task_test.go
+++ b/internal/usage/task_test.go
@@ -558,3 +558,44 @@
 		}
 	}
 }
+
+// TestDutUsageReturnAtAnyMoment guards against two different reports of a window, and against lower tokens, when the store
+// comes back from an older copy while a lease is renewed, a duty is handed over or the write of a decision is on its way.
+func TestDutUsageReturnAtAnyMoment(t *testing.T) {
+	const (
+		moments = 25
+		// step is no divisor of the window and of the time between renewals, so that the returns fall on all parts of both.
+		step = 230 * time.Millisecond
+	)
+	for _, c := range []struct {
+		desc string
+		// meanwhile is called 300 ms before the return.
+		meanwhile func(n *network)
+	}{
+		{"renewals and decisions", func(*network) {}},
+		{"a hand-over", func(n *network) { go n.restart(n.last) }},
+		{"a write on its way", func(n *network) { n.last.client.InjectWriteFault(1, kv.Fault{RequestDelay: 600 * time.Millisecond}) }},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(t)
+				first := windowNow()
+				for _, name := range []string{"a", "b", "c"} {
+					n.start(name)
+				}
+				time.Sleep(20 * time.Second)
+				for i := range moments {
+					older := n.store.Snapshot()
+					time.Sleep(6*time.Second + time.Duration(i)*step)
+					if n.last = n.holder(); n.last != nil {
+						c.meanwhile(n)
+					}
+					time.Sleep(300 * time.Millisecond)
+					n.store.Restore(older)
+					time.Sleep(15 * time.Second)
+				}
+				n.check(first, windowNow()-3, 0, 0.05)
+			})
+		})
+	}
+}
